Lay down the kernel, the root interfaces and one path from end to end

Cause: everything else stands on a request that travels through separate processes in the binding shape, so that comes before any breadth.

Not yet there: peers, owners, the stateful fuzz, the docs.

--- /dev/null
+++ b/internal/command/proxy.go
@@ -0,0 +1,42 @@
+package command
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/ebonywood/ebonywood/internal/kernel"
+	"github.com/ebonywood/ebonywood/internal/metrics"
+	"github.com/ebonywood/ebonywood/internal/plugins"
+	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/internal/settingsfile"
+)
+
+func newProxy() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "proxy --settings FILE",
+		Short: "Run a proxy until it is asked to stop",
+		Long: `Runs one proxy. On SIGTERM it stops being ready, accepts no new callers, lets
+each transaction in flight end, and leaves.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			settings, err := settingsfile.Read(path)
+			if err != nil {
+				return err
+			}
+			meter := metrics.New()
+			defer meter.Close()
+			log := newLog(settings.Name())
+			if settings.CallersFile() == "" {
+				log.Info("callers are not authenticated: callersFile is not set")
+			}
+			proxy, err := kernel.New(settings, log, meter, registry.Standard(), plugins.Decisions(), plugins.Edges(settings))
+			if err != nil {
+				return err
+			}
+			log.Info("serving callers", "address", settings.CallerAddress())
+			return proxy.Run(command.Context())
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "ebonywood.yaml", "the proxy's settings, YAML")
+	return command
+}
--- /dev/null
+++ b/internal/command/publish.go
@@ -0,0 +1,91 @@
+package command
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/kvclient"
+	"github.com/ebonywood/ebonywood/internal/objectfile"
+	"github.com/ebonywood/ebonywood/internal/publication"
+)
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILES",
+		Short: "Check a whole object set and print every fault",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, paths []string) error {
+			content, err := readFiles(paths)
+			if err != nil {
+				return err
+			}
+			set, err := objectfile.Parse(0, content)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(command.OutOrStdout(), "%d instances, %d routes, hash %.12s: no faults\n",
+				len(set.Instances()), len(set.Routes()), set.Hash())
+			return nil
+		},
+	}
+}
+
+func readFiles(paths []string) ([]byte, error) {
+	texts := make([][]byte, 0, len(paths))
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "name readable YAML files")
+		}
+		texts = append(texts, text)
+	}
+	return objectfile.Join(paths, texts), nil
+}
+
+// platformFlag adds the flag that names the key-value service.
+func platformFlag(command *cobra.Command, addresses *[]string) {
+	command.Flags().StringSliceVar(addresses, "platform", []string{"http://127.0.0.1:2379"},
+		"URLs of the platform's key-value service")
+}
+
+func openPublication(addresses []string) *publication.Publication {
+	return publication.New(kvclient.New(addresses, "ebonywood-cli", tally.NoopScope))
+}
+
+func newPublish() *cobra.Command {
+	var addresses []string
+	var expect int64
+	command := &cobra.Command{
+		Use:   "publish FILES",
+		Short: "Check an object set and put it in force everywhere",
+		Long: `Checks the whole set and makes it the accepted one if nobody published in the
+meantime. The generation that it replaces is that of --expect; without it, the
+one in force now.` + exitCodesHelp,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, paths []string) error {
+			content, err := readFiles(paths)
+			if err != nil {
+				return err
+			}
+			sets := openPublication(addresses)
+			if expect < 0 {
+				if expect, err = sets.Generation(command.Context()); err != nil {
+					return err
+				}
+			}
+			generation, err := sets.Publish(command.Context(), content, uint64(expect))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(command.OutOrStdout(), "generation %d accepted\n", generation)
+			return nil
+		},
+	}
+	platformFlag(command, &addresses)
+	command.Flags().Int64Var(&expect, "expect", -1, "the generation to replace; 0 if none was published")
+	return command
+}
--- /dev/null
+++ b/internal/edge/caller/caller.go
@@ -0,0 +1,185 @@
+// Package caller is the edge towards callers. It speaks PostgreSQL v3, decides
+// nothing about members or terms, and keeps no more of an idle caller than its
+// session's floor.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/internal/rungroup"
+)
+
+// Name is the plug-in's name.
+const Name = "caller"
+
+func init() {
+	registry.AddEdge(Name, func(port ebonywood.Port) (ebonywood.Edge, error) { return New(port) })
+}
+
+const (
+	// startUpLimit bounds the time from accepting a connection to its first
+	// request.
+	startUpLimit = 10 * time.Second
+	// writeLimit bounds one write to a caller that doesn't read.
+	writeLimit = 30 * time.Second
+	// drainPoll is how often a draining edge looks whether all sessions left.
+	drainPoll = 20 * time.Millisecond
+)
+
+// Edge listens for callers.
+type Edge struct {
+	port     ebonywood.Port
+	listener net.Listener
+	tls      *tls.Config
+
+	mutex    sync.Mutex
+	sessions map[uint32]*session
+}
+
+// New opens the port that the settings name.
+func New(port ebonywood.Port) (*Edge, error) {
+	address := port.Settings().CallerAddress()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ebonywood.NewFault(ebonywood.KindBadInput,
+			fmt.Sprintf("cannot listen for callers at %s: %v", address, err), "set callerAddress to a free port of this host")
+	}
+	return &Edge{port: port, listener: listener, sessions: map[uint32]*session{}}, nil
+}
+
+// Address is where callers connect.
+func (edge *Edge) Address() string { return edge.listener.Addr().String() }
+
+// Perform does nothing: control asks nothing of this edge.
+func (edge *Edge) Perform(ebonywood.Action) bool { return false }
+
+// Run accepts callers until ctx ends. Then it accepts no more, lets each session
+// finish the transaction in flight, and returns when all have left or the
+// settings' limit has passed.
+func (edge *Edge) Run(ctx context.Context) error {
+	group := rungroup.New(context.Background())
+	stopped := context.AfterFunc(ctx, func() { _ = edge.listener.Close() })
+	defer stopped()
+	err := edge.accept(ctx, group)
+	if ctx.Err() == nil {
+		group.Stop()
+		return err
+	}
+	edge.drain()
+	group.Stop()
+	edge.closeAll()
+	return group.Wait()
+}
+
+func (edge *Edge) accept(ctx context.Context, group *rungroup.Group) error {
+	for {
+		socket, err := edge.listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		group.Go(func(ctx context.Context) error {
+			edge.serve(ctx, socket)
+			return nil
+		})
+	}
+}
+
+// drain closes sessions as they become idle.
+func (edge *Edge) drain() {
+	began := edge.port.Clock().Now()
+	limit := edge.port.Settings().DrainLimit()
+	for edge.closeIdle() > 0 {
+		if limit > 0 && edge.port.Clock().Now()-began > limit {
+			edge.port.Log().Info("drain limit passed", "sessions", edge.count())
+			return
+		}
+		time.Sleep(drainPoll)
+	}
+}
+
+func (edge *Edge) closeIdle() (left int) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for _, each := range edge.sessions {
+		each.leaveWhenIdle()
+	}
+	return len(edge.sessions)
+}
+
+func (edge *Edge) closeAll() {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for _, each := range edge.sessions {
+		_ = each.socket.Close()
+	}
+}
+
+func (edge *Edge) count() int {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	return len(edge.sessions)
+}
+
+func (edge *Edge) serve(ctx context.Context, socket net.Conn) {
+	defer socket.Close()
+	_ = socket.SetDeadline(time.Now().Add(startUpLimit))
+	each := &session{edge: edge, socket: socket}
+	if !each.startUp(ctx) {
+		return
+	}
+	_ = each.socket.SetDeadline(time.Time{})
+	defer edge.remove(each)
+	each.loop(ctx)
+}
+
+// add registers a session under a new key; it refuses when there are too many.
+func (edge *Edge) add(each *session) error {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	if len(edge.sessions) >= edge.port.Settings().MaxCallers() {
+		return ebonywood.NewFault(ebonywood.KindOverload, fmt.Sprintf("%d callers are connected", len(edge.sessions)),
+			"connect to another proxy, or raise maxCallers")
+	}
+	for {
+		each.pid = rand.Uint32()
+		if _, taken := edge.sessions[each.pid]; !taken {
+			break
+		}
+	}
+	each.secret = rand.Uint32()
+	edge.sessions[each.pid] = each
+	edge.port.Metrics().Gauge("callers").Update(float64(len(edge.sessions)))
+	return nil
+}
+
+func (edge *Edge) remove(each *session) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	delete(edge.sessions, each.pid)
+	edge.port.Metrics().Gauge("callers").Update(float64(len(edge.sessions)))
+}
+
+// cancel passes a cancel request to the session that it names.
+func (edge *Edge) cancel(ctx context.Context, pid uint32, secret []byte) {
+	if len(secret) != 4 {
+		return
+	}
+	edge.mutex.Lock()
+	each, found := edge.sessions[pid]
+	edge.mutex.Unlock()
+	if found && each.secret == binary.BigEndian.Uint32(secret) {
+		each.cancel(ctx)
+	}
+}
--- /dev/null
+++ b/internal/edge/operator/operator.go
@@ -0,0 +1,125 @@
+// Package operator is the edge towards operators: health, readiness, metrics and
+// the state of the process over HTTP. It changes nothing; operators act by
+// publishing object sets.
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/registry"
+)
+
+// Name is the plug-in's name.
+const Name = "operator"
+
+func init() {
+	registry.AddEdge(Name, func(port ebonywood.Port) (ebonywood.Edge, error) { return New(port) })
+}
+
+// Edge serves operators.
+type Edge struct {
+	port     ebonywood.Port
+	listener net.Listener
+}
+
+// New opens the port that the settings name.
+func New(port ebonywood.Port) (*Edge, error) {
+	address := port.Settings().OperatorAddress()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ebonywood.NewFault(ebonywood.KindBadInput,
+			fmt.Sprintf("cannot listen for operators at %s: %v", address, err),
+			"set operatorAddress to a free port of this host")
+	}
+	return &Edge{port: port, listener: listener}, nil
+}
+
+// Perform does nothing: control asks nothing of this edge.
+func (edge *Edge) Perform(ebonywood.Action) bool { return false }
+
+// scraper is a port whose metrics can be read over HTTP.
+type scraper interface {
+	Scrape() http.Handler
+}
+
+// Run serves until ctx ends.
+func (edge *Edge) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", edge.health)
+	mux.HandleFunc("GET /readyz", edge.ready)
+	mux.HandleFunc("GET /status", edge.status)
+	if scrape, offers := edge.port.(scraper); offers {
+		mux.Handle("GET /metrics", scrape.Scrape())
+	}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer stop()
+	if err := server.Serve(edge.listener); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func (edge *Edge) health(writer http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(writer, "ok")
+}
+
+// ready is false before the first object set and from the moment of a drain.
+func (edge *Edge) ready(writer http.ResponseWriter, _ *http.Request) {
+	snapshot := edge.port.Snapshot()
+	switch {
+	case snapshot.IsDraining():
+		http.Error(writer, "draining", http.StatusServiceUnavailable)
+	case snapshot.Set() == nil:
+		http.Error(writer, "no object set is in force yet", http.StatusServiceUnavailable)
+	default:
+		fmt.Fprintln(writer, "ready")
+	}
+}
+
+// report is the state of a process as 'ebonywood status' reads it.
+type report struct {
+	Name       string           `json:"name"`
+	Zone       string           `json:"zone"`
+	Generation uint64           `json:"generation"`
+	Hash       string           `json:"hash"`
+	Draining   bool             `json:"draining"`
+	Peers      []string         `json:"peers"`
+	Instances  []instanceReport `json:"instances"`
+}
+
+type instanceReport struct {
+	ID      ebonywood.InstanceID `json:"id"`
+	Term    ebonywood.Term       `json:"term"`
+	Primary ebonywood.MemberID   `json:"primary"`
+	Proofs  int                  `json:"proofs"`
+}
+
+func (edge *Edge) status(writer http.ResponseWriter, _ *http.Request) {
+	snapshot := edge.port.Snapshot()
+	settings := edge.port.Settings()
+	answer := report{Name: settings.Name(), Zone: settings.Zone(), Draining: snapshot.IsDraining()}
+	for _, peer := range snapshot.Peers() {
+		answer.Peers = append(answer.Peers, peer.Name())
+	}
+	if set := snapshot.Set(); set != nil {
+		answer.Generation, answer.Hash = set.Generation(), set.Hash()
+		for _, instance := range set.Instances() {
+			if view, found := snapshot.View(instance.ID()); found {
+				answer.Instances = append(answer.Instances, instanceReport{
+					ID: view.ID(), Term: view.Term(), Primary: view.Primary(), Proofs: len(view.Proofs()),
+				})
+			}
+		}
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(answer)
+}
--- /dev/null
+++ b/internal/kernel/kernel.go
@@ -0,0 +1,246 @@
+// Package kernel builds the plug-ins that a process needs and runs the control
+// loop between them.
+//
+// The control loop is one goroutine and the only owner of control state. It
+// takes events from a bounded channel, hands each to every decision in a fixed
+// order, offers the resulting actions to the edges, and publishes a new snapshot
+// by one atomic store. It blocks while there is nothing to do. Traffic
+// goroutines, which edges own, read the snapshot without locks. The alternative,
+// a lock around shared control state, was left because a decision that is
+// called from one place can be driven by a test with the same calls.
+package kernel
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clock"
+	"github.com/ebonywood/ebonywood/internal/metrics"
+	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/internal/rungroup"
+)
+
+const (
+	eventBacklog = 4096
+	tickPeriod   = 10 * time.Millisecond
+)
+
+// Kernel is one process's set of plug-ins.
+type Kernel struct {
+	settings  ebonywood.Settings
+	log       logr.Logger
+	metrics   *metrics.Metrics
+	clock     clock.Monotonic
+	events    chan ebonywood.Event
+	snapshot  atomic.Pointer[published]
+	decisions []ebonywood.Decision
+	edges     []ebonywood.Edge
+	lanes     ebonywood.Lanes
+}
+
+// published is a snapshot with the channel that closes when the next one stands.
+type published struct {
+	snapshot *ebonywood.Snapshot
+	replaced chan struct{}
+}
+
+// New builds the named plug-ins in order. An edge that offers lanes must come
+// before the edges that use them.
+func New(
+	settings ebonywood.Settings, log logr.Logger, metrics *metrics.Metrics,
+	from *registry.Registry, decisions, edges []string,
+) (*Kernel, error) {
+	kernel := &Kernel{
+		settings: settings,
+		log:      log,
+		metrics:  metrics,
+		events:   make(chan ebonywood.Event, eventBacklog),
+	}
+	for _, name := range decisions {
+		factory, found := from.Decision(name)
+		if !found {
+			return nil, unknownPlugin(name, from)
+		}
+		kernel.decisions = append(kernel.decisions, factory(settings))
+	}
+	kernel.publish()
+	for _, name := range edges {
+		if err := kernel.addEdge(name, from); err != nil {
+			return nil, err
+		}
+	}
+	return kernel, nil
+}
+
+func unknownPlugin(name string, from *registry.Registry) error {
+	return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("no plug-in is registered as %q", name),
+		fmt.Sprintf("use one of %v", from.Names()))
+}
+
+func (kernel *Kernel) addEdge(name string, from *registry.Registry) error {
+	factory, found := from.Edge(name)
+	if !found {
+		return unknownPlugin(name, from)
+	}
+	edge, err := factory(kernel)
+	if err != nil {
+		return errors.Wrapf(err, "edge %s", name)
+	}
+	kernel.edges = append(kernel.edges, edge)
+	if lanes, offers := edge.(ebonywood.Lanes); offers {
+		kernel.lanes = lanes
+	}
+	return nil
+}
+
+// Run works until the context ends or an edge fails. Edges stop in the reverse
+// order of their start, so that callers are served to the end while the target
+// side still works.
+func (kernel *Kernel) Run(ctx context.Context) error {
+	control := rungroup.New(context.Background())
+	control.Go(kernel.loop)
+	control.Go(kernel.tick)
+	failed := make(chan error, len(kernel.edges))
+	groups := make([]*rungroup.Group, 0, len(kernel.edges))
+	for _, edge := range kernel.edges {
+		group := rungroup.New(context.Background())
+		group.Go(func(ctx context.Context) error {
+			err := edge.Run(ctx)
+			if err != nil && ctx.Err() == nil {
+				failed <- err
+			}
+			return err
+		})
+		groups = append(groups, group)
+	}
+	var err error
+	select {
+	case <-ctx.Done():
+		err = kernel.Post(context.Background(), ebonywood.DrainAsked{})
+	case err = <-failed:
+	}
+	for i := len(groups) - 1; i >= 0; i-- {
+		groups[i].Stop()
+		err = errors.CombineErrors(err, groups[i].Wait())
+	}
+	control.Stop()
+	return errors.CombineErrors(err, control.Wait())
+}
+
+func (kernel *Kernel) tick(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if err := kernel.Post(ctx, ebonywood.Tick{}); err != nil {
+				return nil
+			}
+		}
+	}
+}
+
+func (kernel *Kernel) loop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case event := <-kernel.events:
+			kernel.handle(event)
+			kernel.publish()
+		}
+	}
+}
+
+// handle gives the event to every decision, and at once the events that their
+// actions mean for the others.
+func (kernel *Kernel) handle(event ebonywood.Event) {
+	now := kernel.clock.Now()
+	for _, decision := range kernel.decisions {
+		for _, action := range decision.Handle(now, event) {
+			kernel.perform(action)
+		}
+	}
+}
+
+func (kernel *Kernel) perform(action ebonywood.Action) {
+	if apply, ok := action.(ebonywood.ApplySet); ok {
+		set := apply.Set()
+		kernel.log.Info("object set in force", "generation", set.Generation(), "hash", set.Hash())
+		kernel.handle(ebonywood.NewSetAccepted(set))
+		return
+	}
+	for _, edge := range kernel.edges {
+		if edge.Perform(action) {
+			return
+		}
+	}
+	kernel.log.Info("no edge performs this action", "action", fmt.Sprintf("%T", action))
+}
+
+func (kernel *Kernel) publish() {
+	draft := ebonywood.NewDraft()
+	for _, decision := range kernel.decisions {
+		decision.Contribute(draft)
+	}
+	before := kernel.snapshot.Swap(&published{snapshot: draft.Publish(), replaced: make(chan struct{})})
+	if before != nil {
+		close(before.replaced)
+	}
+}
+
+// Post hands an event to the control loop.
+func (kernel *Kernel) Post(ctx context.Context, event ebonywood.Event) error {
+	select {
+	case kernel.events <- event:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Snapshot is the control state last published.
+func (kernel *Kernel) Snapshot() *ebonywood.Snapshot { return kernel.snapshot.Load().snapshot }
+
+// Await blocks until a snapshot meets the condition.
+func (kernel *Kernel) Await(ctx context.Context, ready func(*ebonywood.Snapshot) bool) (*ebonywood.Snapshot, error) {
+	for {
+		current := kernel.snapshot.Load()
+		if ready(current.snapshot) {
+			return current.snapshot, nil
+		}
+		select {
+		case <-current.replaced:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// Clock is the process's clock.
+func (kernel *Kernel) Clock() ebonywood.Clock { return kernel.clock }
+
+// Log is the process's log.
+func (kernel *Kernel) Log() logr.Logger { return kernel.log }
+
+// Metrics is the root scope.
+func (kernel *Kernel) Metrics() tally.Scope { return kernel.metrics.Scope() }
+
+// Scrape serves the metrics over HTTP.
+func (kernel *Kernel) Scrape() http.Handler { return kernel.metrics.Handler() }
+
+// Settings are the process's settings.
+func (kernel *Kernel) Settings() ebonywood.Settings { return kernel.settings }
+
+// Lanes is the target side.
+func (kernel *Kernel) Lanes() ebonywood.Lanes { return kernel.lanes }
--- /dev/null
+++ b/internal/rungroup/rungroup.go
@@ -0,0 +1,66 @@
+// Package rungroup owns goroutines that stop together. A package starts no
+// goroutine but through a group, so that whoever holds the group can wait until
+// nothing of the package runs any more.
+package rungroup
+
+import (
+	"context"
+	"sync"
+
+	"github.com/sourcegraph/conc"
+)
+
+// Group runs goroutines until one of them fails or the group is stopped. The
+// zero value works: its parent is then the background context.
+type Group struct {
+	once   sync.Once
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	wait   conc.WaitGroup
+}
+
+// New makes a group whose goroutines are asked to stop when parent ends.
+func New(parent context.Context) *Group {
+	group := &Group{}
+	group.init(parent)
+	return group
+}
+
+func (group *Group) init(parent context.Context) {
+	group.once.Do(func() {
+		group.ctx, group.cancel = context.WithCancelCause(parent)
+	})
+}
+
+// Context ends when the group stops.
+func (group *Group) Context() context.Context {
+	group.init(context.Background())
+	return group.ctx
+}
+
+// Go starts a goroutine. An error other than the context's own stops the group.
+func (group *Group) Go(work func(ctx context.Context) error) {
+	ctx := group.Context()
+	group.wait.Go(func() {
+		if err := work(ctx); err != nil && ctx.Err() == nil {
+			group.cancel(err)
+		}
+	})
+}
+
+// Stop asks all goroutines to stop.
+func (group *Group) Stop() {
+	group.init(context.Background())
+	group.cancel(context.Canceled)
+}
+
+// Wait returns when all goroutines have, with the error that stopped the group.
+// A group that was asked to stop has none.
+func (group *Group) Wait() error {
+	group.wait.Wait()
+	cause := context.Cause(group.Context())
+	if cause == context.Canceled {
+		return nil
+	}
+	return cause
+}
--- /dev/null
+++ b/snapshot.go
@@ -0,0 +1,162 @@
+package ebonywood
+
+// Proof is a status round in which a majority obeyed one term and the primary of
+// that term told the end of its log. Whoever holds the log up to that end serves
+// data no older than the time at which the round began.
+type Proof struct {
+	began Millis
+	at    Position
+}
+
+// NewProof makes a proof.
+func NewProof(began Millis, at Position) Proof { return Proof{began: began, at: at} }
+
+// Began is when the round's questions left, on the clock of this process.
+func (proof Proof) Began() Millis { return proof.began }
+
+// At is the end of the primary's log.
+func (proof Proof) At() Position { return proof.at }
+
+// MemberView is what is known of a member.
+type MemberView struct {
+	member   Member
+	applied  Position
+	asked    Millis
+	heard    Millis
+	answered bool
+}
+
+// NewMemberView makes a view. applied was true at some moment after asked; heard
+// is when the member last answered.
+func NewMemberView(member Member, applied Position, asked, heard Millis, answered bool) MemberView {
+	return MemberView{member: member, applied: applied, asked: asked, heard: heard, answered: answered}
+}
+
+// Member is the configured member.
+func (view MemberView) Member() Member { return view.member }
+
+// Applied is the state that its reads showed when it last answered.
+func (view MemberView) Applied() Position { return view.applied }
+
+// Asked is when the question left to which Applied is the answer.
+func (view MemberView) Asked() Millis { return view.asked }
+
+// Heard is when it last answered.
+func (view MemberView) Heard() Millis { return view.heard }
+
+// HasAnswered reports whether it ever answered.
+func (view MemberView) HasAnswered() bool { return view.answered }
+
+// InstanceView is what is known of an instance.
+type InstanceView struct {
+	id      InstanceID
+	term    Term
+	primary MemberID
+	held    bool
+	members []MemberView
+	proofs  []Proof
+}
+
+// NewInstanceView makes a view. primary is empty while none is known; held says
+// that writes must wait for a planned change; proofs are in order of time.
+func NewInstanceView(id InstanceID, term Term, primary MemberID, held bool, members []MemberView, proofs []Proof) *InstanceView {
+	return &InstanceView{id: id, term: term, primary: primary, held: held, members: members, proofs: proofs}
+}
+
+// ID names the instance.
+func (view *InstanceView) ID() InstanceID { return view.id }
+
+// Term is the highest term known to have a primary.
+func (view *InstanceView) Term() Term { return view.term }
+
+// Primary is the member believed to be primary, empty while there is none.
+func (view *InstanceView) Primary() MemberID { return view.primary }
+
+// IsHeld reports whether new writes have to wait.
+func (view *InstanceView) IsHeld() bool { return view.held }
+
+// Members are the members in configured order.
+func (view *InstanceView) Members() []MemberView { return view.members }
+
+// Proofs are the kept proofs in order of time.
+func (view *InstanceView) Proofs() []Proof { return view.proofs }
+
+// Member finds a member.
+func (view *InstanceView) Member(id MemberID) (MemberView, bool) {
+	for _, member := range view.members {
+		if member.member.id == id {
+			return member, true
+		}
+	}
+	return MemberView{}, false
+}
+
+// Snapshot is the published control state. It is never changed after
+// publication, so traffic reads it without locks.
+type Snapshot struct {
+	set      *ObjectSet
+	views    map[InstanceID]*InstanceView
+	draining bool
+	peers    []PeerView
+}
+
+// Set is the object set in force; nil before the first one.
+func (snapshot *Snapshot) Set() *ObjectSet { return snapshot.set }
+
+// View is what is known of an instance.
+func (snapshot *Snapshot) View(id InstanceID) (*InstanceView, bool) {
+	view, found := snapshot.views[id]
+	return view, found
+}
+
+// IsDraining reports whether the process is on its way out.
+func (snapshot *Snapshot) IsDraining() bool { return snapshot.draining }
+
+// Peers are the other proxies that are believed to live.
+func (snapshot *Snapshot) Peers() []PeerView { return snapshot.peers }
+
+// PeerView is what is known of another proxy.
+type PeerView struct {
+	name    string
+	zone    string
+	address string
+}
+
+// NewPeerView makes a view of a proxy that listens for peers at address.
+func NewPeerView(name, zone, address string) PeerView {
+	return PeerView{name: name, zone: zone, address: address}
+}
+
+// Name is the proxy's name.
+func (peer PeerView) Name() string { return peer.name }
+
+// Zone is its availability zone.
+func (peer PeerView) Zone() string { return peer.zone }
+
+// Address is where it listens for peers.
+func (peer PeerView) Address() string { return peer.address }
+
+// Draft gathers the parts of the next snapshot.
+type Draft struct {
+	snapshot Snapshot
+}
+
+// NewDraft makes an empty draft.
+func NewDraft() *Draft {
+	return &Draft{snapshot: Snapshot{views: map[InstanceID]*InstanceView{}}}
+}
+
+// SetObjects sets the object set in force.
+func (draft *Draft) SetObjects(set *ObjectSet) { draft.snapshot.set = set }
+
+// AddView adds an instance.
+func (draft *Draft) AddView(view *InstanceView) { draft.snapshot.views[view.id] = view }
+
+// SetDraining marks the process as leaving.
+func (draft *Draft) SetDraining() { draft.snapshot.draining = true }
+
+// AddPeer adds a live proxy.
+func (draft *Draft) AddPeer(peer PeerView) { draft.snapshot.peers = append(draft.snapshot.peers, peer) }
+
+// Publish ends the draft; it must not be used afterwards.
+func (draft *Draft) Publish() *Snapshot { return &draft.snapshot }
