Drive sessions, terms and confirmations by a stateful fuzz

Change: internal/session and internal/retry hold what the caller edge decided inline; internal/invariant counts violations (EBONYWOOD_STRICT makes them end the process). test/fuzz drives promoter, router, confirmation, session and retry over journals and a bag of messages, with kills, freezes, cuts, pauses, restarts, lag, loss and late delivery, against an oracle of one page.

--- a/Makefile
+++ b/Makefile
@@ -11,3 +11,14 @@
 
 test:
 	$(GO) test ./...
+
+# The stateful fuzz with the seeds that CI takes.
+fuzz:
+	$(GO) test -count=1 -v -run 'TestStatefulFuzz|TestMutations' -rapid.seed=1 ./test/fuzz
+
+# Long runs: make soak SEED=1 SEEDS=10 STEPS=100000
+SEED ?= 1
+SEEDS ?= 10
+STEPS ?= 100000
+soak:
+	$(GO) test -count=1 -v -timeout 60m -run TestSoak ./test/fuzz -seed=$(SEED) -seeds=$(SEEDS) -steps=$(STEPS)
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -15,6 +15,7 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/internal/retry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
 
@@ -42,7 +43,9 @@
 	tls      *tls.Config
 
 	mutex    sync.Mutex
-	sessions map[uint32]*session
+	sessions map[uint32]*conversation
+	budgets  map[string]*retry.Budget
+	random   *rand.Rand
 }
 
 // New opens the port that the settings name.
@@ -53,7 +56,10 @@
 		return nil, ebonywood.NewFault(ebonywood.KindBadInput,
 			fmt.Sprintf("cannot listen for callers at %s: %v", address, err), "set callerAddress to a free port of this host")
 	}
-	return &Edge{port: port, listener: listener, sessions: map[uint32]*session{}}, nil
+	return &Edge{
+		port: port, listener: listener, sessions: map[uint32]*conversation{},
+		budgets: map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
 }
 
 // Address is where callers connect.
@@ -135,7 +141,7 @@
 func (edge *Edge) serve(ctx context.Context, socket net.Conn) {
 	defer socket.Close()
 	_ = socket.SetDeadline(time.Now().Add(startUpLimit))
-	each := &session{edge: edge, socket: socket}
+	each := &conversation{edge: edge, socket: socket}
 	if !each.startUp(ctx) {
 		return
 	}
@@ -145,7 +151,7 @@
 }
 
 // add registers a session under a new key; it refuses when there are too many.
-func (edge *Edge) add(each *session) error {
+func (edge *Edge) add(each *conversation) error {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
 	if len(edge.sessions) >= edge.port.Settings().MaxCallers() {
@@ -164,7 +170,7 @@
 	return nil
 }
 
-func (edge *Edge) remove(each *session) {
+func (edge *Edge) remove(each *conversation) {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
 	delete(edge.sessions, each.pid)
@@ -183,3 +189,30 @@
 		each.cancel(ctx)
 	}
 }
+
+// earn counts a request towards its route's budget for retries.
+func (edge *Edge) earn(route *ebonywood.Route) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	edge.budget(route).Earn()
+}
+
+// spend takes a retry out of the route's budget.
+func (edge *Edge) spend(route *ebonywood.Route, attempt int) (pause time.Duration, allowed bool) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	budget := edge.budget(route)
+	if !budget.Spend() {
+		return 0, false
+	}
+	return budget.Pause(attempt, edge.random), true
+}
+
+func (edge *Edge) budget(route *ebonywood.Route) *retry.Budget {
+	budget, found := edge.budgets[route.Name()]
+	if !found {
+		budget = &retry.Budget{}
+		edge.budgets[route.Name()] = budget
+	}
+	return budget
+}
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/conversation.go
@@ -10,19 +10,18 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/frame"
+	"github.com/ebonywood/ebonywood/internal/invariant"
+	"github.com/ebonywood/ebonywood/internal/retry"
+	"github.com/ebonywood/ebonywood/internal/session"
 )
 
 const (
 	// keepBuffer is the greatest output buffer that an idle session keeps.
 	keepBuffer = 4 << 10
-	// retryPause is the first pause before a request that was not run is tried
-	// again; it doubles up to retryPauseLimit.
-	retryPause      = 2 * time.Millisecond
-	retryPauseLimit = 50 * time.Millisecond
 )
 
-// session serves one caller.
-type session struct {
+// conversation serves one caller.
+type conversation struct {
 	edge     *Edge
 	socket   net.Conn
 	frames   *frame.Reader
@@ -30,7 +29,7 @@
 	secret   uint32
 	route    *ebonywood.Route
 	instance ebonywood.InstanceID
-	floor    ebonywood.Floor
+	state    session.Session
 	token    ebonywood.Position
 	known    statements
 	output   []byte
@@ -44,7 +43,7 @@
 }
 
 // loop serves requests until the caller leaves or the session is drained.
-func (each *session) loop(ctx context.Context) {
+func (each *conversation) loop(ctx context.Context) {
 	defer each.releaseLane()
 	for {
 		request, err := each.readRequest()
@@ -66,7 +65,7 @@
 
 // refuseInput answers input that can't be accepted; a caller that just left gets
 // nothing.
-func (each *session) refuseInput(err error) {
+func (each *conversation) refuseInput(err error) {
 	fault := ebonywood.FaultOf(err)
 	if fault.Kind() == ebonywood.KindBadInput {
 		each.refuse(fault)
@@ -75,14 +74,14 @@
 
 // beginRequest marks the session as busy; it reports false when the session was
 // asked to leave first.
-func (each *session) beginRequest() bool {
+func (each *conversation) beginRequest() bool {
 	each.mutex.Lock()
 	defer each.mutex.Unlock()
 	each.busy = true
 	return !each.leaving || each.lane != nil
 }
 
-func (each *session) endRequest() bool {
+func (each *conversation) endRequest() bool {
 	each.mutex.Lock()
 	defer each.mutex.Unlock()
 	each.busy = each.lane != nil
@@ -92,7 +91,7 @@
 // leaveWhenIdle closes the session if it is between two transactions. A request
 // that is read at the same moment was not begun, so it is not cut off: the
 // caller sees a closed connection before any answer.
-func (each *session) leaveWhenIdle() {
+func (each *conversation) leaveWhenIdle() {
 	each.mutex.Lock()
 	defer each.mutex.Unlock()
 	if !each.busy && !each.leaving {
@@ -103,7 +102,7 @@
 }
 
 // cancel passes a cancel request to the target that works for this session.
-func (each *session) cancel(ctx context.Context) {
+func (each *conversation) cancel(ctx context.Context) {
 	each.mutex.Lock()
 	lane := each.lane
 	each.mutex.Unlock()
@@ -112,13 +111,13 @@
 	}
 }
 
-func (each *session) setLane(lane ebonywood.Lane) {
+func (each *conversation) setLane(lane ebonywood.Lane) {
 	each.mutex.Lock()
 	defer each.mutex.Unlock()
 	each.lane = lane
 }
 
-func (each *session) releaseLane() {
+func (each *conversation) releaseLane() {
 	lane := each.lane
 	if lane == nil {
 		return
@@ -128,7 +127,7 @@
 }
 
 // serve runs one request to its end. An error ends the session.
-func (each *session) serve(ctx context.Context, request *callerRequest) error {
+func (each *conversation) serve(ctx context.Context, request *callerRequest) error {
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, each.route.Deadline().Duration())
 	defer cancel()
@@ -142,18 +141,18 @@
 }
 
 // runToEnd tries the request until it is answered, refused or in doubt.
-func (each *session) runToEnd(ctx context.Context, request *callerRequest) *ebonywood.Fault {
-	pause := retryPause
-	for {
+func (each *conversation) runToEnd(ctx context.Context, request *callerRequest) *ebonywood.Fault {
+	each.edge.earn(each.route)
+	for number := 0; ; number++ {
 		again, fault := each.attempt(ctx, request)
-		if !again {
+		if !again || ctx.Err() != nil {
 			return fault
 		}
-		if ctx.Err() != nil {
+		pause, allowed := each.edge.spend(each.route, number)
+		if !allowed {
 			return fault
 		}
 		sleep(ctx, pause)
-		pause = min(2*pause, retryPauseLimit)
 	}
 }
 
@@ -166,10 +165,8 @@
 	}
 }
 
-// attempt runs the request once. It reports whether it may be run again: it was
-// proved not to have run, or it is repeatable and nothing of an answer was
-// relayed.
-func (each *session) attempt(ctx context.Context, request *callerRequest) (again bool, fault *ebonywood.Fault) {
+// attempt runs the request once and reports whether it may be run again.
+func (each *conversation) attempt(ctx context.Context, request *callerRequest) (again bool, fault *ebonywood.Fault) {
 	inTransaction := each.lane != nil
 	if !inTransaction {
 		lane, err := each.acquire(ctx, request)
@@ -180,8 +177,9 @@
 	}
 	lane := each.lane
 	if !lane.IsPrimary() {
-		each.noteRead(lane.Member())
+		each.state.BeginRead(lane.Member(), each.edge.port.Clock().Now())
 	}
+	each.checkAtMostOnce(request, lane)
 	sink := newSink(each, request, lane.IsPrimary(), inTransaction)
 	answer, err := lane.Exchange(ctx, request.forTarget(), sink)
 	if err != nil {
@@ -197,41 +195,41 @@
 	return false, nil
 }
 
+// checkAtMostOnce asserts that a request that may have been run on a primary is
+// not run there again, unless its route says that it is repeatable.
+func (each *conversation) checkAtMostOnce(request *callerRequest, lane ebonywood.Lane) {
+	unsafe := lane.IsPrimary() && !each.route.IsRepeatable()
+	each.edge.port.Invariants().Check(invariant.AtMostOnce, !unsafe || !request.inDoubt, string(each.instance))
+}
+
 // judge decides what a failed exchange means to the caller.
-func (each *session) judge(
+func (each *conversation) judge(
 	request *callerRequest, sink *sink, inTransaction bool, fault *ebonywood.Fault,
 ) (again bool, final *ebonywood.Fault) {
 	each.output = each.output[:sink.start]
-	if fault.Kind() == ebonywood.KindNotRun {
-		return !inTransaction, fault
+	if fault.Kind() == ebonywood.KindUnknown {
+		each.state.Doubted(each.edge.port.Clock().Now())
+		request.inDoubt = request.inDoubt || sink.primary
 	}
-	each.floor = ebonywood.NewFloor(each.floor.At(), each.edge.port.Clock().Now(), "")
-	repeatable := !sink.primary || each.route.IsRepeatable()
-	return repeatable && !inTransaction && !sink.relayed, fault
+	safe := !sink.primary || each.route.IsRepeatable()
+	return retry.MayRepeat(fault.Kind(), inTransaction, safe, sink.relayed), fault
 }
 
-func (each *session) acquire(ctx context.Context, request *callerRequest) (ebonywood.Lane, error) {
+func (each *conversation) acquire(ctx context.Context, request *callerRequest) (ebonywood.Lane, error) {
 	left := each.route.Deadline()
 	if until, bounded := ctx.Deadline(); bounded {
 		left = ebonywood.MillisOf(time.Until(until))
 	}
-	need := ebonywood.NewNeed(each.instance, each.route.Name(), request.access, each.floor, max(left, 1), request.shape)
+	need := ebonywood.NewNeed(each.instance, each.route.Name(), request.access, each.state.Floor(), max(left, 1), request.shape)
 	return each.edge.port.Lanes().Acquire(ctx, need)
 }
 
-// noteRead raises the floor before a replica is read: whatever the read shows
-// must not be taken back by a later one.
-func (each *session) noteRead(member ebonywood.MemberID) {
-	each.floor = ebonywood.NewFloor(each.floor.At(), each.edge.port.Clock().Now(), member)
-}
-
 // finish passes on the end of an answer and settles the session's state.
-func (each *session) finish(answer ebonywood.Answer, sink *sink) {
+func (each *conversation) finish(answer ebonywood.Answer, sink *sink) {
 	sink.release()
 	if !answer.Position().IsZero() {
-		at := each.floor.At().Max(answer.Position())
-		each.floor = ebonywood.NewFloor(at, each.floor.Since(), each.floor.Last())
-		each.announceToken(at)
+		each.state.Answered(answer.Position())
+		each.announceToken(each.state.Floor().At())
 	}
 	if answer.State() == ebonywood.TxIdle {
 		each.releaseLane()
@@ -241,7 +239,7 @@
 
 // announceToken tells the caller its floor, which it may present to another
 // proxy.
-func (each *session) announceToken(at ebonywood.Position) {
+func (each *conversation) announceToken(at ebonywood.Position) {
 	if at == each.token {
 		return
 	}
@@ -250,7 +248,7 @@
 }
 
 // write encodes messages into the output buffer.
-func (each *session) write(messages ...pgproto3.BackendMessage) {
+func (each *conversation) write(messages ...pgproto3.BackendMessage) {
 	for _, message := range messages {
 		encoded, err := message.Encode(each.output)
 		if err == nil {
@@ -259,7 +257,7 @@
 	}
 }
 
-func (each *session) writeFault(fault *ebonywood.Fault, severity string) {
+func (each *conversation) writeFault(fault *ebonywood.Fault, severity string) {
 	each.write(&pgproto3.ErrorResponse{
 		Severity: severity, SeverityUnlocalized: severity, Code: fault.Kind().SQLState(),
 		Message: fault.Message(), Hint: fault.Remedy(), Detail: fault.Kind().String(),
@@ -268,7 +266,7 @@
 
 // flush sends the output buffer. A caller that doesn't read for too long is cut
 // off.
-func (each *session) flush() error {
+func (each *conversation) flush() error {
 	if len(each.output) == 0 {
 		return nil
 	}
@@ -282,7 +280,7 @@
 }
 
 // count feeds the metrics and the report on service levels.
-func (each *session) count(fault *ebonywood.Fault, took time.Duration) {
+func (each *conversation) count(fault *ebonywood.Fault, took time.Duration) {
 	outcome := "answered"
 	if fault != nil {
 		outcome = fault.Kind().String()
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -41,6 +41,8 @@
 	access       ebonywood.Access
 	shape        uint64
 	repeatable   bool
+	// inDoubt says that a primary may have run the request.
+	inDoubt bool
 	// closes tells, for each CloseComplete to come, whether it stands for the
 	// caller's Parse.
 	closes []bool
@@ -57,7 +59,7 @@
 // by the Close of a name that doesn't exist, whose answer takes the place of the
 // answer to the Parse, and the statement is prepared under a name that all
 // sessions share wherever it is first used.
-func (each *session) readRequest() (*callerRequest, error) {
+func (each *conversation) readRequest() (*callerRequest, error) {
 	request := &callerRequest{access: ebonywood.AccessRead}
 	for {
 		message, err := each.frames.Next()
@@ -92,7 +94,7 @@
 }
 
 // add takes one message of the extended protocol.
-func (each *session) add(request *callerRequest, message []byte) error {
+func (each *conversation) add(request *callerRequest, message []byte) error {
 	body := frame.Body(message)
 	switch message[0] {
 	case frame.Parse:
@@ -115,7 +117,7 @@
 	}
 }
 
-func (each *session) addParse(request *callerRequest, body []byte) error {
+func (each *conversation) addParse(request *callerRequest, body []byte) error {
 	var parse pgproto3.Parse
 	if err := parse.Decode(body); err != nil {
 		return malformed(err)
@@ -165,7 +167,7 @@
 	return nil
 }
 
-func (each *session) addBind(request *callerRequest, body []byte) error {
+func (each *conversation) addBind(request *callerRequest, body []byte) error {
 	var bind pgproto3.Bind
 	if err := bind.Decode(body); err != nil {
 		return malformed(err)
@@ -182,7 +184,7 @@
 	return nil
 }
 
-func (each *session) addDescribe(request *callerRequest, message, body []byte) error {
+func (each *conversation) addDescribe(request *callerRequest, message, body []byte) error {
 	var describe pgproto3.Describe
 	if err := describe.Decode(body); err != nil {
 		return malformed(err)
@@ -202,7 +204,7 @@
 	return nil
 }
 
-func (each *session) addClose(request *callerRequest, body []byte) error {
+func (each *conversation) addClose(request *callerRequest, body []byte) error {
 	var message pgproto3.Close
 	if err := message.Decode(body); err != nil {
 		return malformed(err)
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -25,7 +25,7 @@
 // is done. Rows before it are streamed. From a replica the answer is held until
 // it is clear that the statement is not refused as a write.
 type sink struct {
-	session *session
+	session *conversation
 	request *callerRequest
 	primary bool
 	// mayMove says that a refused write can be sent to the primary, or that the
@@ -40,7 +40,7 @@
 	message string
 }
 
-func newSink(session *session, request *callerRequest, primary, inTransaction bool) *sink {
+func newSink(session *conversation, request *callerRequest, primary, inTransaction bool) *sink {
 	return &sink{
 		session: session, request: request, primary: primary, mayMove: primary || !inTransaction,
 		closes: request.closes, start: len(session.output),
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -30,7 +30,7 @@
 
 // startUp serves the messages before the first request and reports whether the
 // session may go on.
-func (each *session) startUp(ctx context.Context) bool {
+func (each *conversation) startUp(ctx context.Context) bool {
 	for {
 		body, err := readStartUp(each.socket)
 		if err != nil {
@@ -74,7 +74,7 @@
 	return body, err
 }
 
-func (each *session) upgrade() bool {
+func (each *conversation) upgrade() bool {
 	if each.edge.tls == nil {
 		_, err := each.socket.Write([]byte{'N'})
 		return err == nil
@@ -86,7 +86,7 @@
 	return true
 }
 
-func (each *session) begin(body []byte) bool {
+func (each *conversation) begin(body []byte) bool {
 	var message pgproto3.StartupMessage
 	if err := message.Decode(body); err != nil {
 		each.refuse(ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "connect with a PostgreSQL v3 client"))
@@ -113,7 +113,7 @@
 }
 
 // open finds the route and the instance of a caller and sets its first floor.
-func (each *session) open(parameters map[string]string) error {
+func (each *conversation) open(parameters map[string]string) error {
 	user, database := parameters["user"], parameters["database"]
 	if database == "" {
 		database = user
@@ -134,7 +134,7 @@
 	}
 	each.route = route
 	each.instance = chooseInstance(route, parameters)
-	each.floor = ebonywood.NewFloor(at, each.edge.port.Clock().Now(), "")
+	each.state.Attach(at, each.edge.port.Clock().Now())
 	return each.edge.add(each)
 }
 
@@ -162,7 +162,7 @@
 }
 
 // refuse ends a start-up with an error that the caller can show.
-func (each *session) refuse(err error) {
+func (each *conversation) refuse(err error) {
 	each.writeFault(ebonywood.FaultOf(err), "FATAL")
 	_ = each.flush()
 }
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -256,24 +256,14 @@
 	return lane, nil
 }
 
-// stillAllowed decides again once the connection is there: the member may have
-// been rewound since its last status, in which case the connection, opened
-// afterwards, knows better.
+// stillAllowed decides again once the connection is there.
 func (edge *Edge) stillAllowed(need ebonywood.Need, route *ebonywood.Route, lane *lane) bool {
 	view, found := edge.port.Snapshot().View(need.Instance())
 	if !found {
 		return false
 	}
-	member, found := view.Member(lane.Member())
-	if !found || view.Primary() == lane.Member() {
-		return false
-	}
-	applied := lane.conn.applied
-	if member.Asked() >= lane.conn.opened {
-		applied = member.Applied()
-	}
 	rule := router.New(view, route.Policy(), need.Floor(), edge.port.Clock().Now())
-	return rule.Allows(lane.Member(), applied)
+	return rule.AllowsOver(lane.Member(), lane.conn.opened, lane.conn.applied)
 }
 
 // leastLoaded chooses the member with the least expected wait; nil if none of
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -14,6 +14,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -23,6 +24,7 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/clock"
+	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/metrics"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -31,6 +33,8 @@
 const (
 	eventBacklog = 4096
 	tickPeriod   = 10 * time.Millisecond
+	// strictVariable makes a violated invariant end the process.
+	strictVariable = "EBONYWOOD_STRICT"
 )
 
 // Kernel is one process's set of plug-ins.
@@ -44,6 +48,8 @@
 	decisions []ebonywood.Decision
 	edges     []ebonywood.Edge
 	lanes     ebonywood.Lanes
+	checker   invariant.Checker
+	inForce   uint64
 }
 
 // published is a snapshot with the channel that closes when the next one stands.
@@ -64,6 +70,7 @@
 		metrics:  metrics,
 		events:   make(chan ebonywood.Event, eventBacklog),
 	}
+	kernel.checker.OnBroken(kernel.reportBroken)
 	for _, name := range decisions {
 		factory, found := from.Decision(name)
 		if !found {
@@ -176,6 +183,9 @@
 func (kernel *Kernel) perform(action ebonywood.Action) {
 	if apply, ok := action.(ebonywood.ApplySet); ok {
 		set := apply.Set()
+		kernel.checker.Check(invariant.NeverReverts, set.Generation() > kernel.inForce,
+			fmt.Sprintf("generation %d after %d", set.Generation(), kernel.inForce))
+		kernel.inForce = set.Generation()
 		kernel.log.Info("object set in force", "generation", set.Generation(), "hash", set.Hash())
 		kernel.handle(ebonywood.NewSetAccepted(set))
 		return
@@ -227,6 +237,19 @@
 	}
 }
 
+// Invariants checks what must always hold.
+func (kernel *Kernel) Invariants() ebonywood.Invariants { return &kernel.checker }
+
+// reportBroken counts and logs a violation. EBONYWOOD_STRICT makes it end the
+// process, for tests and soak runs.
+func (kernel *Kernel) reportBroken(name, detail string) {
+	kernel.metrics.Scope().Tagged(map[string]string{"invariant": name}).Counter("violations").Inc(1)
+	kernel.log.Error(nil, "invariant violated", "invariant", name, "detail", detail)
+	if os.Getenv(strictVariable) != "" {
+		panic("invariant violated: " + name + ": " + detail)
+	}
+}
+
 // Clock is the process's clock.
 func (kernel *Kernel) Clock() ebonywood.Clock { return kernel.clock }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -57,6 +57,20 @@
 	return router.holdsProofSince(applied, oldest)
 }
 
+// AllowsOver decides again for a connection that was opened at a known time to a
+// replica that showed applied then. The replica may have been rewound since its
+// last status; a connection opened afterwards knows better.
+func (router Router) AllowsOver(id ebonywood.MemberID, opened ebonywood.Millis, applied ebonywood.Position) bool {
+	member, found := router.view.Member(id)
+	if !found || router.view.Primary() == id {
+		return false
+	}
+	if member.Asked() >= opened {
+		applied = member.Applied()
+	}
+	return router.Allows(id, applied)
+}
+
 // holdsProofSince reports whether applied covers a proof that began at or after
 // oldest. Proofs are in order of time and their positions only grow, so the
 // first one that is young enough decides.
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,44 @@
+// Package session decides what a caller's session must be shown.
+//
+// A session keeps nothing but its floor, so a proxy that dies takes no state with
+// it: whoever serves the caller next sets a floor that covers all that any
+// proxy acknowledged or showed before. Replicating sessions between proxies was
+// weighed and left: it would cost a message for each write, and a proxy that is
+// cut off could still not be asked.
+package session
+
+import (
+	"github.com/ebonywood/ebonywood"
+)
+
+// Session is the state of one caller. The zero value has seen nothing.
+type Session struct {
+	floor ebonywood.Floor
+}
+
+// Attach begins a session, or goes on with one that another proxy served. token
+// is what the caller presented, or zero. Whatever it was shown before now is
+// covered by a status round that begins now or later.
+func (session *Session) Attach(token ebonywood.Position, now ebonywood.Millis) {
+	session.floor = ebonywood.NewFloor(token, now, "")
+}
+
+// Floor is the least state that the session may be shown.
+func (session *Session) Floor() ebonywood.Floor { return session.floor }
+
+// BeginRead raises the floor before a replica is read, because what the read
+// shows must not be taken back by a later one.
+func (session *Session) BeginRead(member ebonywood.MemberID, now ebonywood.Millis) {
+	session.floor = ebonywood.NewFloor(session.floor.At(), now, member)
+}
+
+// Answered raises the floor to a position that covers what a primary committed
+// or showed. A zero position changes nothing.
+func (session *Session) Answered(at ebonywood.Position) {
+	session.floor = ebonywood.NewFloor(session.floor.At().Max(at), session.floor.Since(), session.floor.Last())
+}
+
+// Doubted takes the floor anew after a request whose outcome is unknown.
+func (session *Session) Doubted(now ebonywood.Millis) {
+	session.floor = ebonywood.NewFloor(session.floor.At(), now, "")
+}
--- a/plugin.go
+++ b/plugin.go
@@ -41,12 +41,20 @@
 	Log() logr.Logger
 	// Metrics is the root scope of the process's metrics.
 	Metrics() tally.Scope
+	// Invariants checks what must always hold.
+	Invariants() Invariants
 	// Settings are the process's checked settings.
 	Settings() Settings
 	// Lanes is the target side; nil in a process without a target edge.
 	Lanes() Lanes
 }
 
+// Invariants takes note of what must always hold.
+type Invariants interface {
+	// Check reports a violation when holds is false.
+	Check(name string, holds bool, detail string)
+}
+
 // Settings are what one process is told at its start. An empty address leaves
 // the edge out.
 type Settings interface {
