Mend four faults that the fuzz and the real processes found

One run at a time now. Then a late answer of an earlier round settled the next batch and left its run waiting for 1 s: answers carry their round. 4. A primary cut from its peers was promoted again for its longer log, of which nothing was confirmed: the replaced primary is passed over when the others are a majority.

--- a/internal/confirmation/confirmation.go
+++ b/internal/confirmation/confirmation.go
@@ -24,6 +24,7 @@
 	members int
 	waiting []ticket
 	flight  []ticket
+	round   uint64
 	anchor  ebonywood.Position
 	agreed  []ebonywood.MemberID
 }
@@ -50,11 +51,15 @@
 		return false
 	}
 	batch.flight, batch.waiting = batch.waiting, nil
+	batch.round++
 	batch.anchor = ebonywood.Position{}
 	batch.agreed = batch.agreed[:0]
 	return true
 }
 
+// Round tells the confirmation that began last from earlier ones.
+func (batch *Batch) Round() uint64 { return batch.round }
+
 // Anchor takes the primary's status, read after Begin. The tickets returned
 // can't be settled: the member is no longer primary in their term.
 func (batch *Batch) Anchor(member ebonywood.MemberID, status ebonywood.Status) (lost []uint64) {
@@ -77,10 +82,15 @@
 // Position is what the members have to confirm; zero before Anchor.
 func (batch *Batch) Position() ebonywood.Position { return batch.anchor }
 
-// Agree takes a member's confirmation of Position. Once a majority agreed, it
-// returns the transactions that are safe and the position that covers them.
-func (batch *Batch) Agree(member ebonywood.MemberID) (settled []uint64, at ebonywood.Position) {
-	if batch.anchor.IsZero() || slices.Contains(batch.agreed, member) {
+// Agree takes a member's confirmation of Position, asked for in a round. Once a
+// majority agreed, it returns the transactions that are safe and the position
+// that covers them.
+//
+// A late answer of an earlier round does not count even if the position is the
+// same: it was asked for before the reads of this round, so the member may have
+// obeyed a later term by the time at which they ran.
+func (batch *Batch) Agree(member ebonywood.MemberID, round uint64) (settled []uint64, at ebonywood.Position) {
+	if batch.anchor.IsZero() || round != batch.round || slices.Contains(batch.agreed, member) {
 		return nil, ebonywood.Position{}
 	}
 	batch.agreed = append(batch.agreed, member)
--- a/internal/decision/promoter/change.go
+++ b/internal/decision/promoter/change.go
@@ -86,6 +86,7 @@
 
 func (watch *watch) beginFencing(now ebonywood.Millis) []ebonywood.Action {
 	watch.enter(now, phaseFencing)
+	watch.replaced = watch.primary
 	watch.phaseTerm = watch.highest() + 1
 	watch.fenced = map[ebonywood.MemberID]ebonywood.Status{}
 	return watch.orderAll(ebonywood.OrderFence, watch.phaseTerm)
@@ -146,9 +147,10 @@
 		watch.enter(now, phaseDraining)
 		return []ebonywood.Action{watch.orderOne(watch.chosen, ebonywood.OrderStatus, 0)}
 	case phaseDraining:
+		// The leaving primary and the chosen replica hold the same log.
 		watch.fenced[id] = event.Status()
-		if watch.fencedMajority() {
-			return watch.promote(now, watch.greatest())
+		if watch.fencedMajority() && id == watch.chosen {
+			return watch.promote(now, watch.chosen)
 		}
 	}
 	return nil
@@ -156,12 +158,20 @@
 
 // greatest is the fenced member with the greatest log; among equals one that
 // stays goes before one that leaves.
+//
+// The replaced primary is passed over when the others are a majority by
+// themselves: cut off from its peers it may have a longer log, of which nothing
+// was confirmed, and promoted again it would still be cut off.
 func (watch *watch) greatest() ebonywood.MemberID {
+	passOver := watch.replaced
+	if _, found := watch.fenced[passOver]; found && len(watch.fenced)-1 < ebonywood.Majority(len(watch.members)) {
+		passOver = ""
+	}
 	var best *known
 	var bestEnd ebonywood.Position
 	for _, entry := range watch.members {
 		status, found := watch.fenced[entry.member.ID()]
-		if !found {
+		if !found || entry.member.ID() == passOver {
 			continue
 		}
 		better := best == nil || bestEnd.Less(status.LogEnd()) ||
@@ -243,6 +253,7 @@
 		return nil
 	}
 	watch.enter(now, phaseClosing)
+	watch.replaced = watch.primary
 	watch.phaseTerm = watch.highest() + 1
 	watch.fenced = map[ebonywood.MemberID]ebonywood.Status{}
 	return []ebonywood.Action{watch.orderOne(watch.primary, ebonywood.OrderFence, watch.phaseTerm)}
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -82,6 +82,7 @@
 	fenced     map[ebonywood.MemberID]ebonywood.Status
 	fencedAt   ebonywood.Millis
 	chosen     ebonywood.MemberID
+	replaced   ebonywood.MemberID
 	finalEnd   ebonywood.Position
 	suspicious bool
 	suspect    ebonywood.Millis
@@ -261,7 +262,8 @@
 		if entry.leaving {
 			member = member.WithLeaving()
 		}
-		members = append(members, ebonywood.NewMemberView(member, entry.status.Applied(), entry.asked, entry.heard, entry.ever))
+		readable := entry.ever && entry.status.Role() != ebonywood.RoleFormer
+		members = append(members, ebonywood.NewMemberView(member, entry.status.Applied(), entry.asked, entry.heard, readable))
 	}
 	held := watch.phase == phaseHolding || watch.phase == phaseClosing || watch.phase == phaseDraining
 	watch.view = ebonywood.NewInstanceView(watch.id, watch.term, watch.primary, held, members, watch.proofs)
--- a/internal/edge/caller/conversation.go
+++ b/internal/edge/caller/conversation.go
@@ -176,9 +176,6 @@
 		each.setLane(lane)
 	}
 	lane := each.lane
-	if !lane.IsPrimary() {
-		each.state.BeginRead(lane.Member(), each.edge.port.Clock().Now())
-	}
 	each.checkAtMostOnce(request, lane)
 	sink := newSink(each, request, lane.IsPrimary(), inTransaction)
 	answer, err := lane.Exchange(ctx, request.forTarget(), sink)
@@ -191,6 +188,9 @@
 		request.access = ebonywood.AccessWrite
 		return !inTransaction, sink.refusal()
 	}
+	if !lane.IsPrimary() {
+		each.state.Showed(lane.Member(), each.edge.port.Clock().Now())
+	}
 	each.finish(answer, sink)
 	return false, nil
 }
--- a/internal/edge/target/confirmer.go
+++ b/internal/edge/target/confirmer.go
@@ -9,11 +9,18 @@
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/confirmation"
 	"github.com/ebonywood/ebonywood/internal/pgconn"
-	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
 
-// confirmLimit bounds one wait at a member for the replication of a position.
-const confirmLimit = time.Second
+const (
+	// confirmLimit bounds a whole confirmation.
+	confirmLimit = 2 * time.Second
+	// confirmSlice is how long a member waits for replication before it answers
+	// that it is not there yet. Short slices tell a member that lags from a
+	// connection that has gone silent.
+	confirmSlice = 200 * time.Millisecond
+	// confirmPause follows an answer that is no confirmation.
+	confirmPause = 5 * time.Millisecond
+)
 
 // verdict settles one ticket.
 type verdict struct {
@@ -33,6 +40,10 @@
 	number  uint64
 	waiters map[uint64]chan verdict
 	primary ebonywood.MemberID
+	term    ebonywood.Term
+	// running is true from the start of a batch until its run has ended, which is
+	// later than the moment at which the batch is settled.
+	running bool
 }
 
 func newConfirmer(edge *Edge, instance ebonywood.Instance) *confirmer {
@@ -68,7 +79,7 @@
 	number := confirm.number
 	confirm.waiters[number] = done
 	confirm.batch.Add(number, term)
-	confirm.primary = member
+	confirm.primary, confirm.term = member, term
 	confirm.begin()
 	confirm.mutex.Unlock()
 	select {
@@ -87,72 +98,70 @@
 
 // begin starts a confirmation if none is under way; the mutex is held.
 func (confirm *confirmer) begin() {
-	if !confirm.batch.Begin() {
+	if confirm.running || !confirm.batch.Begin() {
 		return
 	}
-	primary := confirm.primary
+	confirm.running = true
+	primary, term := confirm.primary, confirm.term
 	confirm.edge.group.Go(func(ctx context.Context) error {
-		confirm.run(ctx, primary)
+		during, ended := confirm.edge.gate(confirm.instance.ID()).during(ctx, term)
+		defer ended()
+		confirm.run(during, primary)
 		return nil
 	})
 }
 
 // run settles one batch.
 func (confirm *confirmer) run(ctx context.Context, primary ebonywood.MemberID) {
-	ctx, cancel := context.WithTimeout(ctx, confirmLimit)
-	defer cancel()
-	status, err := confirm.askers[primary].ask(ctx, statusText)
-	if err == nil {
-		confirm.anchor(primary, status)
-		confirm.gather(ctx, cancel, primary)
+	ctx, settled := context.WithTimeout(ctx, confirmLimit)
+	defer settled()
+	status, err := confirm.askers[primary].status(ctx)
+	if err == nil && confirm.anchor(primary, status) {
+		confirm.gather(ctx, settled, primary)
+		<-ctx.Done()
 	}
 	confirm.mutex.Lock()
 	defer confirm.mutex.Unlock()
 	confirm.settle(confirm.batch.Abandon(), verdict{})
+	confirm.running = false
 	confirm.begin()
 }
 
-func (confirm *confirmer) anchor(primary ebonywood.MemberID, status ebonywood.Status) {
+// anchor takes the primary's status and reports whether anything is left to
+// confirm.
+func (confirm *confirmer) anchor(primary ebonywood.MemberID, status ebonywood.Status) bool {
 	confirm.mutex.Lock()
 	defer confirm.mutex.Unlock()
 	confirm.settle(confirm.batch.Anchor(primary, status), verdict{})
 	settled, at := confirm.batch.Settle()
 	confirm.settle(settled, verdict{safe: true, at: at})
+	return len(settled) == 0 && !confirm.batch.Position().IsZero()
 }
 
-// gather asks all other members at once and returns when the batch is settled or
-// all have answered.
+// gather asks all other members at once. A slow member goes on with its question
+// when the batch is settled; its answer then counts for nothing.
 func (confirm *confirmer) gather(ctx context.Context, settled context.CancelFunc, primary ebonywood.MemberID) {
 	confirm.mutex.Lock()
-	at := confirm.batch.Position()
+	at, round := confirm.batch.Position(), confirm.batch.Round()
 	confirm.mutex.Unlock()
-	if at.IsZero() {
-		return
-	}
-	text := fmt.Sprintf("SELECT ebonywood_confirm(%d, %d, %d)", at.Term(), at.Offset(), confirmLimit.Milliseconds())
-	asking := rungroup.New(ctx)
+	text := fmt.Sprintf("SELECT ebonywood_confirm(%d, %d, %d)", at.Term(), at.Offset(), confirmSlice.Milliseconds())
 	for id, asker := range confirm.askers {
-		if id == primary || !asker.claim() {
+		if id == primary {
 			continue
 		}
-		asking.Go(func(context.Context) error {
-			defer asker.free()
-			if _, err := asker.askClaimed(ctx, text); err != nil {
-				return nil
-			}
-			if confirm.agree(id) {
+		confirm.edge.group.Go(func(context.Context) error {
+			if asker.confirm(ctx, text) && confirm.agree(id, round) {
 				settled()
 			}
 			return nil
 		})
 	}
-	_ = asking.Wait()
 }
 
-func (confirm *confirmer) agree(id ebonywood.MemberID) bool {
+func (confirm *confirmer) agree(id ebonywood.MemberID, round uint64) bool {
 	confirm.mutex.Lock()
 	defer confirm.mutex.Unlock()
-	numbers, at := confirm.batch.Agree(id)
+	numbers, at := confirm.batch.Agree(id, round)
 	confirm.settle(numbers, verdict{safe: true, at: at})
 	return len(numbers) > 0
 }
@@ -171,24 +180,61 @@
 type asker struct {
 	edge    *Edge
 	address string
-	mutex   sync.Mutex
+	turn    chan struct{}
 	conn    *pgconn.Conn
 }
 
-func newAsker(edge *Edge, address string) *asker { return &asker{edge: edge, address: address} }
+func newAsker(edge *Edge, address string) *asker {
+	return &asker{edge: edge, address: address, turn: make(chan struct{}, 1)}
+}
 
-// claim takes the connection for one question, unless one is under way.
-func (asker *asker) claim() bool { return asker.mutex.TryLock() }
+// claim waits for the connection, which carries one question at a time.
+func (asker *asker) claim(ctx context.Context) error {
+	select {
+	case asker.turn <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
 
-func (asker *asker) free() { asker.mutex.Unlock() }
+func (asker *asker) free() { <-asker.turn }
 
-func (asker *asker) ask(ctx context.Context, sql string) (ebonywood.Status, error) {
-	asker.mutex.Lock()
-	defer asker.mutex.Unlock()
-	return asker.askClaimed(ctx, sql)
+// status asks a primary for its log's end, twice if the connection is broken.
+func (asker *asker) status(ctx context.Context) (ebonywood.Status, error) {
+	if err := asker.claim(ctx); err != nil {
+		return ebonywood.Status{}, err
+	}
+	defer asker.free()
+	status, err := asker.askClaimed(statusText, orderLimit)
+	if err != nil {
+		status, err = asker.askClaimed(statusText, orderLimit)
+	}
+	return status, err
+}
+
+// confirm asks until the member has the position, or ctx ends. It reports false
+// when the member refuses, because it obeys a later term.
+func (asker *asker) confirm(ctx context.Context, text string) bool {
+	if asker.claim(ctx) != nil {
+		return false
+	}
+	defer asker.free()
+	for ctx.Err() == nil {
+		_, err := asker.askClaimed(text, confirmSlice+orderLimit)
+		if err == nil {
+			return true
+		}
+		sleepFor(ctx, confirmPause)
+	}
+	return false
 }
 
-func (asker *asker) askClaimed(ctx context.Context, sql string) (ebonywood.Status, error) {
+// askClaimed asks over the claimed connection. Its limit is its own: breaking a
+// question off would cost the connection.
+func (asker *asker) askClaimed(sql string, limit time.Duration) (ebonywood.Status, error) {
+	ctx, cancel := context.WithTimeout(asker.edge.group.Context(), limit)
+	defer cancel()
 	if asker.conn == nil {
 		conn, err := dialControl(ctx, asker.edge, asker.address)
 		if err != nil {
@@ -197,9 +243,18 @@
 		asker.conn = conn
 	}
 	status, err := queryStatus(ctx, asker.conn, sql)
-	if err != nil {
+	if err != nil && ebonywood.FaultOf(err).Kind() != ebonywood.KindConflict {
 		asker.conn.Close()
 		asker.conn = nil
 	}
 	return status, err
 }
+
+func sleepFor(ctx context.Context, span time.Duration) {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/edge/target/controller.go
+++ b/internal/edge/target/controller.go
@@ -139,20 +139,26 @@
 		return ebonywood.Status{}, badStatus(rows)
 	}
 	row := rows[0]
-	role := ebonywood.RoleReplica
-	if row[0] == "primary" {
-		role = ebonywood.RolePrimary
-	}
+	role, roleErr := parseRole(row[0])
 	fenced, fencedErr := strconv.ParseUint(row[1], 10, 64)
 	end, endErr := ebonywood.ParsePosition(row[2])
 	applied, appliedErr := ebonywood.ParsePosition(row[3])
 	age, ageErr := strconv.ParseInt(row[4], 10, 64)
-	if err := errors.Join(fencedErr, endErr, appliedErr, ageErr); err != nil {
+	if err := errors.Join(roleErr, fencedErr, endErr, appliedErr, ageErr); err != nil {
 		return ebonywood.Status{}, badStatus(rows)
 	}
 	return ebonywood.NewStatus(role, ebonywood.Term(fenced), end, applied, ebonywood.Millis(age)), nil
 }
 
+func parseRole(text string) (ebonywood.Role, error) {
+	for _, role := range []ebonywood.Role{ebonywood.RoleReplica, ebonywood.RolePrimary, ebonywood.RoleFormer} {
+		if role.String() == text {
+			return role, nil
+		}
+	}
+	return ebonywood.RoleReplica, errors.Newf("unknown role %q", text)
+}
+
 func badStatus(rows [][]string) error {
 	return ebonywood.NewFault(ebonywood.KindUnavailable, fmt.Sprintf("the member's status %v can't be read", rows),
 		"check that the platform's functions are installed as docs/TARGETS.md says")
--- a/internal/edge/target/lane.go
+++ b/internal/edge/target/lane.go
@@ -45,7 +45,7 @@
 func (lane *lane) Member() ebonywood.MemberID { return lane.pool.member.ID() }
 
 // IsPrimary reports whether the connection was opened to a primary.
-func (lane *lane) IsPrimary() bool { return lane.conn.primary }
+func (lane *lane) IsPrimary() bool { return lane.conn.role == ebonywood.RolePrimary }
 
 func (lane *lane) takeSlot(ctx context.Context) error {
 	ticket, err := lane.pool.enter(ctx, lane.need, lane.route)
@@ -75,6 +75,11 @@
 			return ebonywood.Answer{}, err
 		}
 	}
+	if lane.gate != nil {
+		during, ended := lane.gate.during(ctx, lane.conn.term)
+		defer ended()
+		ctx = during
+	}
 	release := lane.conn.Bound(ctx)
 	state, err := lane.run(ctx, request, sink)
 	release()
@@ -84,7 +89,7 @@
 		return ebonywood.Answer{}, err
 	}
 	lane.state = state
-	if !lane.conn.primary || state != ebonywood.TxIdle {
+	if !lane.IsPrimary() || state != ebonywood.TxIdle {
 		return ebonywood.NewAnswer(state, ebonywood.Position{}), nil
 	}
 	return lane.confirm(ctx, state)
--- a/internal/edge/target/pool.go
+++ b/internal/edge/target/pool.go
@@ -29,7 +29,7 @@
 // conn is one connection of a pool.
 type conn struct {
 	*pgconn.Conn
-	primary  bool
+	role     ebonywood.Role
 	term     ebonywood.Term
 	applied  ebonywood.Position
 	opened   ebonywood.Millis
@@ -303,7 +303,7 @@
 		return nil, err
 	}
 	return &conn{
-		Conn: raw, primary: status.Role() == ebonywood.RolePrimary, term: status.Fenced(),
+		Conn: raw, role: status.Role(), term: status.Fenced(),
 		applied: status.Applied(), opened: opened, lastUse: time.Now(), prepared: map[string]struct{}{},
 	}, nil
 }
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -52,6 +52,7 @@
 
 // Run works until ctx ends, then closes all connections.
 func (edge *Edge) Run(ctx context.Context) error {
+	edge.group.Go(edge.watchReigns)
 	<-ctx.Done()
 	edge.group.Stop()
 	edge.mutex.Lock()
@@ -62,6 +63,25 @@
 	return edge.group.Wait()
 }
 
+// watchReigns ends what waits for primaries that were replaced.
+func (edge *Edge) watchReigns(ctx context.Context) error {
+	var last *ebonywood.Snapshot
+	for {
+		snapshot, err := edge.port.Await(ctx, func(snapshot *ebonywood.Snapshot) bool { return snapshot != last })
+		if err != nil {
+			return nil
+		}
+		last = snapshot
+		edge.mutex.Lock()
+		for id, gate := range edge.gates {
+			if view, found := snapshot.View(id); found {
+				gate.advance(view.Term())
+			}
+		}
+		edge.mutex.Unlock()
+	}
+}
+
 // Perform carries out orders to members and the holding of writes.
 func (edge *Edge) Perform(action ebonywood.Action) bool {
 	switch action := action.(type) {
@@ -245,7 +265,7 @@
 	ctx context.Context, need ebonywood.Need, route *ebonywood.Route, view *ebonywood.InstanceView,
 	pool *pool,
 ) (ebonywood.Lane, error) {
-	lane, err := pool.acquire(ctx, need, route, func(each *conn) bool { return !each.primary })
+	lane, err := pool.acquire(ctx, need, route, func(each *conn) bool { return each.role == ebonywood.RoleReplica })
 	if err != nil {
 		return nil, err
 	}
@@ -303,7 +323,7 @@
 		return nil, edge.awaitChange(ctx, view)
 	}
 	lane, err := edge.pool(member.Member()).acquire(ctx, need, route, func(each *conn) bool {
-		return each.primary && each.term == view.Term()
+		return each.role == ebonywood.RolePrimary && each.term == view.Term()
 	})
 	if err != nil {
 		gate.leave()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -35,7 +35,7 @@
 	var allowed []ebonywood.Member
 	for _, member := range router.view.Members() {
 		id := member.Member().ID()
-		if id == router.view.Primary() || !member.HasAnswered() || member.Member().IsLeaving() {
+		if id == router.view.Primary() || !member.IsReadable() || member.Member().IsLeaving() {
 			continue
 		}
 		if router.Allows(id, member.Applied()) {
@@ -62,7 +62,7 @@
 // last status; a connection opened afterwards knows better.
 func (router Router) AllowsOver(id ebonywood.MemberID, opened ebonywood.Millis, applied ebonywood.Position) bool {
 	member, found := router.view.Member(id)
-	if !found || router.view.Primary() == id {
+	if !found || !member.IsReadable() || router.view.Primary() == id {
 		return false
 	}
 	if member.Asked() >= opened {
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -14,6 +14,7 @@
 // zero value works: its parent is then the background context.
 type Group struct {
 	once   sync.Once
+	parent context.Context
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	wait   conc.WaitGroup
@@ -28,6 +29,7 @@
 
 func (group *Group) init(parent context.Context) {
 	group.once.Do(func() {
+		group.parent = parent
 		group.ctx, group.cancel = context.WithCancelCause(parent)
 	})
 }
@@ -55,11 +57,11 @@
 }
 
 // Wait returns when all goroutines have, with the error that stopped the group.
-// A group that was asked to stop has none.
+// A group that was asked to stop, or whose parent ended, has none.
 func (group *Group) Wait() error {
 	group.wait.Wait()
 	cause := context.Cause(group.Context())
-	if cause == context.Canceled {
+	if cause == context.Canceled || group.parent.Err() != nil {
 		return nil
 	}
 	return cause
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -26,9 +26,10 @@
 // Floor is the least state that the session may be shown.
 func (session *Session) Floor() ebonywood.Floor { return session.floor }
 
-// BeginRead raises the floor before a replica is read, because what the read
-// shows must not be taken back by a later one.
-func (session *Session) BeginRead(member ebonywood.MemberID, now ebonywood.Millis) {
+// Showed raises the floor once a replica's answer is there: what it showed must
+// not be taken back by a later read. The moment is that of the answer, since the
+// replica may have moved on while the request was under way.
+func (session *Session) Showed(member ebonywood.MemberID, now ebonywood.Millis) {
 	session.floor = ebonywood.NewFloor(session.floor.At(), now, member)
 }
 
--- a/internal/standin/journal/journal.go
+++ b/internal/standin/journal/journal.go
@@ -178,6 +178,8 @@
 	role := ebonywood.RoleReplica
 	if journal.IsPrimary() {
 		role = ebonywood.RolePrimary
+	} else if journal.promoted > 0 && journal.End().Term() == journal.promoted {
+		role = ebonywood.RoleFormer
 	}
 	return ebonywood.NewStatus(role, journal.fenced, journal.End(), journal.Applied(), upstreamAge)
 }
--- a/member.go
+++ b/member.go
@@ -17,8 +17,23 @@
 	RoleReplica Role = iota
 	// RolePrimary accepts writes in the term that it was promoted at.
 	RolePrimary
+	// RoleFormer is a primary that was fenced and has not followed another since:
+	// its reads may show records that no majority holds.
+	RoleFormer
 )
 
+// String is the form of the platform's status function.
+func (role Role) String() string {
+	switch role {
+	case RolePrimary:
+		return "primary"
+	case RoleFormer:
+		return "former"
+	default:
+		return "replica"
+	}
+}
+
 // Status is a member's own account of itself at one moment.
 type Status struct {
 	role        Role
@@ -35,7 +50,7 @@
 	return Status{role: role, fenced: fenced, logEnd: logEnd, applied: applied, upstreamAge: upstreamAge}
 }
 
-// Role is the member's role. A fenced primary reports itself as a replica.
+// Role is the member's role.
 func (status Status) Role() Role { return status.role }
 
 // Fenced is the highest term that the member obeys.
--- a/snapshot.go
+++ b/snapshot.go
@@ -23,13 +23,14 @@
 	applied  Position
 	asked    Millis
 	heard    Millis
-	answered bool
+	readable bool
 }
 
 // NewMemberView makes a view. applied was true at some moment after asked; heard
-// is when the member last answered.
-func NewMemberView(member Member, applied Position, asked, heard Millis, answered bool) MemberView {
-	return MemberView{member: member, applied: applied, asked: asked, heard: heard, answered: answered}
+// is when the member last answered, and readable says that it answered as a
+// primary or as a replica that follows one.
+func NewMemberView(member Member, applied Position, asked, heard Millis, readable bool) MemberView {
+	return MemberView{member: member, applied: applied, asked: asked, heard: heard, readable: readable}
 }
 
 // Member is the configured member.
@@ -44,8 +45,8 @@
 // Heard is when it last answered.
 func (view MemberView) Heard() Millis { return view.heard }
 
-// HasAnswered reports whether it ever answered.
-func (view MemberView) HasAnswered() bool { return view.answered }
+// IsReadable reports whether its reads show only what a majority may keep.
+func (view MemberView) IsReadable() bool { return view.readable }
 
 // InstanceView is what is known of an instance.
 type InstanceView struct {
--- a/test/e2e/thin_test.go
+++ b/test/e2e/thin_test.go
@@ -16,6 +16,9 @@
 
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
+
+	// The test cache has to know what the binary is built from.
+	_ "github.com/ebonywood/ebonywood/internal/command"
 )
 
 var binary string
@@ -48,6 +51,7 @@
 func start(t *testing.T, arguments ...string) *exec.Cmd {
 	command := exec.Command(binary, arguments...)
 	command.Stderr = logTo(t)
+	command.Env = append(os.Environ(), "EBONYWOOD_STRICT=1")
 	require.NoError(t, command.Start())
 	t.Cleanup(func() {
 		_ = command.Process.Kill()
--- a/test/fuzz/client_test.go
+++ b/test/fuzz/client_test.go
@@ -126,17 +126,24 @@
 	}
 	node := proxy.node(replicas[world.choose(len(replicas))].ID())
 	conn := proxy.connect(node)
-	if conn == nil || conn.primary || !rule.AllowsOver(node.id, conn.opened, conn.applied) {
-		if conn != nil && conn.primary {
+	if conn == nil || conn.role != ebonywood.RoleReplica || !rule.AllowsOver(node.id, conn.opened, conn.applied) {
+		if conn != nil && conn.role != ebonywood.RoleReplica {
 			delete(proxy.conns, node.id)
 		}
 		return false
 	}
-	client.state.BeginRead(node.id, proxy.now())
+	if world.mutation == "floorBeforeAnswer" {
+		client.state.Showed(node.id, proxy.now())
+	}
 	client.send(conn, func() func() {
 		values := append([]string(nil), node.journal.Values(client.op.key)...)
 		decided := client.op.started
-		return func() { client.show(values, decided-maxAge) }
+		return func() {
+			if world.mutation != "floorBeforeAnswer" {
+				client.state.Showed(node.id, proxy.now())
+			}
+			client.show(values, decided-maxAge)
+		}
 	})
 	return true
 }
@@ -151,7 +158,7 @@
 	if conn == nil {
 		return
 	}
-	if !conn.primary || conn.term != view.Term() {
+	if conn.role != ebonywood.RolePrimary || conn.term != view.Term() {
 		delete(proxy.conns, node.id)
 		return
 	}
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -88,24 +88,39 @@
 	}
 }
 
-// mutations take one mechanism out each; the oracle has to notice.
-var mutations = []string{
-	"noConfirm", "confirmTermOnly", "anchorAnyTerm", "fenceNobody", "promoteAny",
-	"noFloor", "noSince", "assumeAge", "repeatUnknown", "denyUnknown",
+// mutations take one mechanism out each; the oracle has to notice. seed is where
+// the search begins.
+var mutations = []struct {
+	name string
+	seed uint64
+}{
+	{"noConfirm", 1},
+	{"confirmTermOnly", 1},
+	{"anchorAnyTerm", 1},
+	{"fenceNobody", 1},
+	{"promoteAny", 1},
+	{"noFloor", 1},
+	{"noSince", 1},
+	{"assumeAge", 1},
+	{"repeatUnknown", 1},
+	{"denyUnknown", 1},
+	{"floorBeforeAnswer", 1135},
+	{"readFormer", 1231},
+	{"agreeAnyRound", 1},
 }
 
 // TestMutations shows that each mechanism is needed: without it some check fails.
 func TestMutations(t *testing.T) {
-	const seeds, steps = 60, 60_000
+	const seeds, steps = 60, 100_000
 	for _, mutation := range mutations {
-		t.Run(mutation, func(t *testing.T) {
+		t.Run(mutation.name, func(t *testing.T) {
 			for seed := range uint64(seeds) {
-				if found, _ := run(seeded(seed+1), mutation, steps); found != nil {
-					t.Logf("caught with seed %d at step %d: %.90s", seed+1, found.step, found.text)
+				if found, _ := run(seeded(mutation.seed+seed), mutation.name, steps); found != nil {
+					t.Logf("caught with seed %d at step %d: %.90s", mutation.seed+seed, found.step, found.text)
 					return
 				}
 			}
-			t.Fatalf("no check noticed that %s", mutation)
+			t.Fatalf("no check noticed that %s", mutation.name)
 		})
 	}
 }
--- a/test/fuzz/proxy_test.go
+++ b/test/fuzz/proxy_test.go
@@ -39,7 +39,7 @@
 type conn struct {
 	node    *node
 	epoch   int
-	primary bool
+	role    ebonywood.Role
 	term    ebonywood.Term
 	applied ebonywood.Position
 	opened  ebonywood.Millis
@@ -186,7 +186,7 @@
 	}
 	status := node.status()
 	opened := &conn{
-		node: node, epoch: node.epoch, primary: status.Role() == ebonywood.RolePrimary,
+		node: node, epoch: node.epoch, role: status.Role(),
 		term: status.Fenced(), applied: status.Applied(), opened: proxy.now(),
 	}
 	proxy.conns[node.id] = opened
@@ -214,7 +214,11 @@
 	run, node := proxy.run, proxy.primary
 	proxy.ask(node, run, func() (func(), bool) {
 		status := node.status()
-		return func() { proxy.anchor(node, run, status) }, true
+		return func() {
+			if proxy.run == run {
+				proxy.anchor(node, run, status)
+			}
+		}, true
 	})
 }
 
@@ -231,11 +235,7 @@
 				&message{from: proxy.name, to: string(node.id), due: proxy.world.now + 3, deliver: deliver})
 			return
 		}
-		proxy.world.send(string(node.id), proxy.name, func() {
-			if proxy.run == run {
-				reply()
-			}
-		})
+		proxy.world.send(string(node.id), proxy.name, reply)
 	}
 	proxy.world.send(proxy.name, string(node.id), deliver)
 }
@@ -245,7 +245,8 @@
 		status = ebonywood.NewStatus(ebonywood.RolePrimary, 0, status.LogEnd(), status.Applied(), 0)
 	}
 	proxy.settle(proxy.batch.Anchor(node.id, status), ebonywood.Position{}, false)
-	at := proxy.batch.Position()
+	at, round := proxy.batch.Position(), proxy.batch.Round()
+	born := proxy.born
 	if at.IsZero() {
 		proxy.endBatch()
 		return
@@ -262,13 +263,20 @@
 			if err != nil {
 				return func() {}, true
 			}
-			return func() { proxy.agree(other) }, ready
+			return func() {
+				if proxy.born == born {
+					proxy.agree(other, round)
+				}
+			}, ready
 		})
 	}
 }
 
-func (proxy *proxy) agree(node *node) {
-	settled, at := proxy.batch.Agree(node.id)
+func (proxy *proxy) agree(node *node, round uint64) {
+	if proxy.world.mutation == "agreeAnyRound" {
+		round = proxy.batch.Round()
+	}
+	settled, at := proxy.batch.Agree(node.id, round)
 	if len(settled) == 0 {
 		return
 	}
--- a/test/fuzz/world_test.go
+++ b/test/fuzz/world_test.go
@@ -312,5 +312,9 @@
 	if !node.journal.IsPrimary() {
 		age = node.world.now - node.heard
 	}
-	return node.journal.Status(age)
+	status := node.journal.Status(age)
+	if node.world.mutation == "readFormer" && status.Role() == ebonywood.RoleFormer {
+		return ebonywood.NewStatus(ebonywood.RoleReplica, status.Fenced(), status.LogEnd(), status.Applied(), age)
+	}
+	return status
 }
