Let proxies know each other and serve each instance at one owner

Cause: 3 slots and 20 connections of a member can't be shared by proxies that each guess, and status rounds by every proxy would grow with the fleet.

Two proxies watch the store, the rest hear from peers.

Ruled out: an owner per member. It saves a zone crossing for some requests, but splits the session's floor, the confirmations and the queue of an instance over three proxies.

--- /dev/null
+++ b/internal/decision/membership/membership.go
@@ -0,0 +1,526 @@
+// Package membership decides which proxies are believed to live, and from that
+// who owns which instance.
+//
+// Each proxy probes one other at a time, in a shuffled order, so its cost does
+// not grow with the fleet. A probe that fails is repeated through proxies in
+// other availability zones, so a cut of one path evicts nobody. What is learned
+// travels with the probes. A proxy that hears itself suspected refutes by a
+// higher incarnation. Heartbeats of all to all, or leases in the platform's
+// store, were weighed and left: the first grow with the square of the fleet, the
+// second with the fleet at a service that must not.
+package membership
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/internal/rendezvous"
+)
+
+// Name is the plug-in's name.
+const Name = "membership"
+
+const (
+	// probePeriod is the time between two probes of one proxy.
+	probePeriod ebonywood.Millis = 250
+	// probeLimit bounds a probe and then its repetition through others.
+	probeLimit ebonywood.Millis = 400
+	// helpers is how many others repeat a failed probe.
+	helpers = 3
+	// suspicionPeriods, times the logarithm of the fleet, is how many probe
+	// periods a suspect has to refute.
+	suspicionPeriods = 3
+	// recontactEvery is how many probes go by before one goes to a proxy that is
+	// believed dead or to a seed, so that a partition heals.
+	recontactEvery = 8
+	// newsLimit bounds the updates in one message.
+	newsLimit = 12
+	// spreadFactor, times the logarithm of the fleet, is how often an update is
+	// passed on.
+	spreadFactor = 3
+	// pushCount is how many proxies hear of a new set at once.
+	pushCount = 3
+	// watcherCount is how many proxies watch the platform's store.
+	watcherCount = 2
+	// watcherKey orders the proxies for watching.
+	watcherKey = "platform"
+	// forgetAfter is when a dead proxy is forgotten.
+	forgetAfter ebonywood.Millis = 600_000
+	// pauseLimit is the gap between two ticks beyond which this process was
+	// paused, so that unanswered probes prove nothing.
+	pauseLimit ebonywood.Millis = 150
+)
+
+func init() {
+	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision { return New(settings) })
+}
+
+// Membership is the decision.
+type Membership struct {
+	self       ebonywood.PeerView
+	own        uint64
+	leaving    bool
+	seeds      []string
+	hosts      []string
+	hostsSeen  ebonywood.HostsSeen
+	random     *rand.Rand
+	beliefs    map[string]*belief
+	ring       []string
+	nextProbe  ebonywood.Millis
+	lastTick   ebonywood.Millis
+	probes     map[uint64]*probe
+	number     uint64
+	sent       uint64
+	news       []*item
+	table      *rendezvous.Table
+	set        *ebonywood.ObjectSet
+	generation uint64
+	owners     *ebonywood.Owners
+	peers      []ebonywood.PeerView
+	published  []ebonywood.PeerUpdate
+}
+
+// belief is what is believed of one other proxy.
+type belief struct {
+	update ebonywood.PeerUpdate
+	since  ebonywood.Millis
+}
+
+// probe is one that waits for an answer.
+type probe struct {
+	name     string
+	indirect int
+	until    ebonywood.Millis
+	number   uint64
+}
+
+// item is an update that is being spread.
+type item struct {
+	update ebonywood.PeerUpdate
+	left   int
+}
+
+// New makes the decision of a process that knows only itself.
+func New(settings ebonywood.Settings) *Membership {
+	seed := xxhash.Sum64String(settings.Name())
+	membership := &Membership{
+		self:    ebonywood.NewPeerView(settings.Name(), settings.Zone(), settings.PeerAddress()),
+		seeds:   settings.Seeds(),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		beliefs: map[string]*belief{},
+		probes:  map[uint64]*probe{},
+		table:   rendezvous.New(ebonywood.OwnerCount),
+		own:     uint64(max(settings.Incarnation(), 1)),
+	}
+	membership.table.SetKeys([]string{watcherKey})
+	membership.table.Join(membership.self.Name())
+	membership.rebuild()
+	return membership
+}
+
+// Handle takes ticks, answers to probes, news, new sets and the platform's hosts.
+func (membership *Membership) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
+	var actions []ebonywood.Action
+	before := membership.owners
+	switch event := event.(type) {
+	case ebonywood.Tick:
+		actions = membership.tick(now)
+	case ebonywood.ProbeAnswered:
+		actions = membership.answered(now, event)
+	case ebonywood.NewsHeard:
+		actions = membership.hear(now, event)
+	case ebonywood.SetAccepted:
+		actions = membership.accept(event.Set())
+	case ebonywood.HostsSeen:
+		actions = membership.noteHosts(event)
+	case ebonywood.DrainAsked:
+		actions = membership.leave()
+	}
+	if membership.owners != before {
+		actions = append(actions, ebonywood.NewAnnounceOwners(membership.owners))
+	}
+	return actions
+}
+
+func (membership *Membership) tick(now ebonywood.Millis) []ebonywood.Action {
+	gap := now - membership.lastTick
+	membership.lastTick = now
+	if gap > pauseLimit {
+		membership.forgive(gap)
+	}
+	actions := membership.expireProbes(now)
+	membership.expireSuspects(now)
+	if now < membership.nextProbe || membership.self.Address() == "" {
+		return actions
+	}
+	membership.nextProbe = now + probePeriod
+	return append(actions, membership.probeNext(now)...)
+}
+
+// forgive drops what may have been missed while this process was paused.
+func (membership *Membership) forgive(gap ebonywood.Millis) {
+	clear(membership.probes)
+	for _, belief := range membership.beliefs {
+		belief.since += gap
+	}
+}
+
+func (membership *Membership) probeNext(now ebonywood.Millis) []ebonywood.Action {
+	membership.sent++
+	if address, found := membership.stranger(); found {
+		return []ebonywood.Action{ebonywood.NewProbePeer(address, "", 0, true, membership.takeNews())}
+	}
+	name, found := membership.nextInRing()
+	if !found {
+		return nil
+	}
+	return []ebonywood.Action{membership.startProbe(now, name)}
+}
+
+// stranger picks, now and then, an address that is not among the live.
+func (membership *Membership) stranger() (string, bool) {
+	if len(membership.peers) > 1 && membership.sent%recontactEvery != 0 {
+		return "", false
+	}
+	known := map[string]bool{membership.self.Address(): true}
+	for _, peer := range membership.peers {
+		known[peer.Address()] = true
+	}
+	var strangers []string
+	for _, address := range slices.Concat(membership.seeds, membership.hosts) {
+		if !known[address] {
+			strangers = append(strangers, address)
+		}
+	}
+	for _, belief := range membership.beliefs {
+		if belief.update.State() == ebonywood.PeerDead {
+			strangers = append(strangers, belief.update.Peer().Address())
+		}
+	}
+	if len(strangers) == 0 {
+		return "", false
+	}
+	slices.Sort(strangers)
+	return strangers[membership.random.IntN(len(strangers))], true
+}
+
+// nextInRing takes the live proxies in a shuffled order, so that each is probed
+// once a round.
+func (membership *Membership) nextInRing() (string, bool) {
+	for range 2 {
+		for len(membership.ring) > 0 {
+			name := membership.ring[0]
+			membership.ring = membership.ring[1:]
+			if known, found := membership.beliefs[name]; found && known.update.State() <= ebonywood.PeerSuspect {
+				return name, true
+			}
+		}
+		for _, peer := range membership.peers {
+			if peer.Name() != membership.self.Name() {
+				membership.ring = append(membership.ring, peer.Name())
+			}
+		}
+		membership.random.Shuffle(len(membership.ring), func(i, j int) {
+			membership.ring[i], membership.ring[j] = membership.ring[j], membership.ring[i]
+		})
+	}
+	return "", false
+}
+
+func (membership *Membership) startProbe(now ebonywood.Millis, name string) ebonywood.Action {
+	membership.number++
+	membership.probes[membership.number] = &probe{name: name, until: now + probeLimit, number: membership.number}
+	address := membership.beliefs[name].update.Peer().Address()
+	return ebonywood.NewProbePeer(address, "", membership.number, false, membership.takeNews())
+}
+
+// answered ends a probe, or repeats a failed one through others.
+func (membership *Membership) answered(now ebonywood.Millis, event ebonywood.ProbeAnswered) []ebonywood.Action {
+	waiting, found := membership.probes[event.Number()]
+	if !found {
+		return nil
+	}
+	if event.HasAnswered() {
+		delete(membership.probes, event.Number())
+		return nil
+	}
+	if waiting.indirect > 0 {
+		return nil
+	}
+	return membership.askHelpers(now, waiting)
+}
+
+// askHelpers repeats a probe through proxies of other zones, as far as there are
+// any.
+func (membership *Membership) askHelpers(now ebonywood.Millis, waiting *probe) []ebonywood.Action {
+	waiting.until = now + probeLimit
+	target := membership.beliefs[waiting.name].update.Peer()
+	candidates := slices.DeleteFunc(slices.Clone(membership.peers), func(peer ebonywood.PeerView) bool {
+		return peer.Name() == target.Name() || peer.Name() == membership.self.Name()
+	})
+	membership.random.Shuffle(len(candidates), func(i, j int) {
+		candidates[i], candidates[j] = candidates[j], candidates[i]
+	})
+	slices.SortStableFunc(candidates, func(left, right ebonywood.PeerView) int {
+		return sameZone(left, membership.self) - sameZone(right, membership.self)
+	})
+	var actions []ebonywood.Action
+	for _, helper := range candidates[:min(helpers, len(candidates))] {
+		waiting.indirect++
+		actions = append(actions, ebonywood.NewProbePeer(target.Address(), helper.Address(), waiting.number, false, nil))
+	}
+	if waiting.indirect == 0 {
+		waiting.until = now
+	}
+	return actions
+}
+
+func sameZone(peer, self ebonywood.PeerView) int {
+	if peer.Zone() == self.Zone() {
+		return 1
+	}
+	return 0
+}
+
+// expireProbes suspects those whom neither this proxy nor others reached.
+func (membership *Membership) expireProbes(now ebonywood.Millis) []ebonywood.Action {
+	var actions []ebonywood.Action
+	for _, number := range sortedKeys(membership.probes) {
+		waiting := membership.probes[number]
+		if now < waiting.until {
+			continue
+		}
+		known, found := membership.beliefs[waiting.name]
+		if found && waiting.indirect == 0 && len(membership.peers) > 2 {
+			actions = append(actions, membership.askHelpers(now, waiting)...)
+			continue
+		}
+		delete(membership.probes, number)
+		if found && known.update.State() == ebonywood.PeerAlive {
+			membership.believe(now, ebonywood.NewPeerUpdate(known.update.Peer(), known.update.Incarnation(), ebonywood.PeerSuspect))
+		}
+	}
+	return actions
+}
+
+func sortedKeys(probes map[uint64]*probe) []uint64 {
+	keys := make([]uint64, 0, len(probes))
+	for key := range probes {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// expireSuspects declares dead who did not refute in time, and forgets the dead
+// after a while.
+func (membership *Membership) expireSuspects(now ebonywood.Millis) {
+	span := probePeriod * ebonywood.Millis(suspicionPeriods*membership.logarithm())
+	for name, known := range membership.beliefs {
+		switch {
+		case known.update.State() == ebonywood.PeerSuspect && now-known.since > span:
+			membership.believe(now, ebonywood.NewPeerUpdate(known.update.Peer(), known.update.Incarnation(), ebonywood.PeerDead))
+		case known.update.State() >= ebonywood.PeerDead && now-known.since > forgetAfter:
+			delete(membership.beliefs, name)
+		}
+	}
+}
+
+func (membership *Membership) logarithm() int { return bits.Len(uint(len(membership.peers) + 1)) }
+
+// hear takes news, answers suspicion of itself, and fetches a newer set.
+func (membership *Membership) hear(now ebonywood.Millis, event ebonywood.NewsHeard) []ebonywood.Action {
+	for _, update := range event.Updates() {
+		membership.believe(now, update)
+	}
+	behind := event.Generation() > membership.generation || event.Hosts() > membership.hostsSeen.Revision()
+	if behind && event.Address() != "" {
+		return []ebonywood.Action{ebonywood.NewFetchSet(event.Address())}
+	}
+	return nil
+}
+
+// believe takes over an update that overrides what is known.
+func (membership *Membership) believe(now ebonywood.Millis, update ebonywood.PeerUpdate) {
+	name := update.Peer().Name()
+	if name == membership.self.Name() {
+		membership.refute(update)
+		return
+	}
+	known, found := membership.beliefs[name]
+	if found && !update.Overrides(known.update) || !found && update.State() >= ebonywood.PeerDead {
+		return
+	}
+	wasLive := found && known.update.State() <= ebonywood.PeerSuspect
+	moved := found && known.update.Peer() != update.Peer()
+	membership.beliefs[name] = &belief{update: update, since: now}
+	membership.spread(update)
+	isLive := update.State() <= ebonywood.PeerSuspect
+	if wasLive != isLive || moved {
+		membership.moveInTable(name, isLive)
+	}
+}
+
+func (membership *Membership) moveInTable(name string, isLive bool) {
+	if isLive {
+		membership.table.Join(name)
+	} else {
+		membership.table.Leave(name)
+	}
+	membership.rebuild()
+}
+
+// refute answers a suspicion of this proxy by a higher incarnation.
+func (membership *Membership) refute(update ebonywood.PeerUpdate) {
+	if update.State() == ebonywood.PeerAlive || membership.leaving || update.Incarnation() < membership.own {
+		return
+	}
+	membership.own = update.Incarnation() + 1
+	membership.spread(membership.ownUpdate())
+}
+
+func (membership *Membership) ownUpdate() ebonywood.PeerUpdate {
+	state := ebonywood.PeerAlive
+	if membership.leaving {
+		state = ebonywood.PeerLeft
+	}
+	return ebonywood.NewPeerUpdate(membership.self, membership.own, state)
+}
+
+// spread puts an update at the head of the news.
+func (membership *Membership) spread(update ebonywood.PeerUpdate) {
+	membership.news = slices.DeleteFunc(membership.news, func(other *item) bool {
+		return other.update.Peer().Name() == update.Peer().Name()
+	})
+	membership.news = append(membership.news, &item{update: update, left: spreadFactor * membership.logarithm()})
+	membership.republish()
+}
+
+// takeNews chooses what goes with the next probe: this proxy itself, then what
+// was passed on least.
+func (membership *Membership) takeNews() []ebonywood.PeerUpdate {
+	slices.SortStableFunc(membership.news, func(left, right *item) int { return right.left - left.left })
+	updates := []ebonywood.PeerUpdate{membership.ownUpdate()}
+	for _, each := range membership.news[:min(newsLimit, len(membership.news))] {
+		updates = append(updates, each.update)
+		each.left--
+	}
+	membership.news = slices.DeleteFunc(membership.news, func(each *item) bool { return each.left <= 0 })
+	membership.republish()
+	return updates
+}
+
+// republish renews what answers to other proxies carry.
+func (membership *Membership) republish() {
+	published := []ebonywood.PeerUpdate{membership.ownUpdate()}
+	for _, each := range membership.news[:min(newsLimit, len(membership.news))] {
+		published = append(published, each.update)
+	}
+	membership.published = published
+}
+
+// accept makes the instances of a new set the keys of the owners, and pushes the
+// news of it to a few proxies, which push it on.
+func (membership *Membership) accept(set *ebonywood.ObjectSet) []ebonywood.Action {
+	membership.set, membership.generation = set, set.Generation()
+	keys := []string{watcherKey}
+	for _, instance := range set.Instances() {
+		keys = append(keys, string(instance.ID()))
+	}
+	membership.table.SetKeys(keys)
+	membership.rebuild()
+	return membership.push()
+}
+
+// push probes a few proxies at once.
+func (membership *Membership) push() []ebonywood.Action {
+	others := slices.DeleteFunc(slices.Clone(membership.peers), func(peer ebonywood.PeerView) bool {
+		return peer.Name() == membership.self.Name()
+	})
+	membership.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	var actions []ebonywood.Action
+	for _, peer := range others[:min(pushCount, len(others))] {
+		actions = append(actions, ebonywood.NewProbePeer(peer.Address(), "", 0, false, membership.takeNews()))
+	}
+	return actions
+}
+
+// noteHosts takes the platform's list as further addresses to begin with, and
+// pushes the news of it on.
+func (membership *Membership) noteHosts(event ebonywood.HostsSeen) []ebonywood.Action {
+	if event.Revision() <= membership.hostsSeen.Revision() {
+		return nil
+	}
+	membership.hostsSeen = event
+	membership.hosts = membership.hosts[:0]
+	members := map[string]bool{}
+	if membership.set != nil {
+		for _, instance := range membership.set.Instances() {
+			for _, member := range instance.Members() {
+				members[member.Address()] = true
+			}
+		}
+	}
+	for address, isLeaving := range event.Leaving() {
+		if !isLeaving && !members[address] {
+			membership.hosts = append(membership.hosts, address)
+		}
+	}
+	slices.Sort(membership.hosts)
+	return membership.push()
+}
+
+// leave tells the others that this proxy goes, so that it gets no new work.
+func (membership *Membership) leave() []ebonywood.Action {
+	membership.leaving = true
+	membership.own++
+	membership.spread(membership.ownUpdate())
+	return membership.push()
+}
+
+// rebuild makes a new table of owners and list of peers.
+func (membership *Membership) rebuild() {
+	byName := map[string]ebonywood.PeerView{membership.self.Name(): membership.self}
+	for name, known := range membership.beliefs {
+		if known.update.State() <= ebonywood.PeerSuspect {
+			byName[name] = known.update.Peer()
+		}
+	}
+	peers := make([]ebonywood.PeerView, 0, len(byName))
+	for _, peer := range byName {
+		peers = append(peers, peer)
+	}
+	slices.SortFunc(peers, func(left, right ebonywood.PeerView) int { return strings.Compare(left.Name(), right.Name()) })
+	membership.peers = peers
+	byInstance := map[ebonywood.InstanceID][]ebonywood.PeerView{}
+	if membership.set != nil {
+		for _, instance := range membership.set.Instances() {
+			byInstance[instance.ID()] = viewsOf(membership.table.Top(string(instance.ID())), byName)
+		}
+	}
+	watchers := viewsOf(membership.table.Top(watcherKey), byName)
+	membership.owners = ebonywood.NewOwners(membership.self.Name(), byInstance, watchers[:min(watcherCount, len(watchers))])
+	membership.republish()
+}
+
+func viewsOf(names []string, byName map[string]ebonywood.PeerView) []ebonywood.PeerView {
+	views := make([]ebonywood.PeerView, 0, len(names))
+	for _, name := range names {
+		views = append(views, byName[name])
+	}
+	return views
+}
+
+// Contribute adds the live proxies, the owners and the news.
+func (membership *Membership) Contribute(draft *ebonywood.Draft) {
+	draft.SetPeers(membership.peers)
+	draft.SetOwners(membership.owners)
+	draft.SetNews(membership.published)
+	draft.SetHosts(membership.hostsSeen)
+}
--- a/internal/decision/promoter/promoter.go
+++ b/internal/decision/promoter/promoter.go
@@ -35,7 +35,9 @@
 	settings ebonywood.Settings
 	watches  map[ebonywood.InstanceID]*watch
 	order    []ebonywood.InstanceID
-	peers    []string
+	set      *ebonywood.ObjectSet
+	owners   *ebonywood.Owners
+	hosts    int64
 	leaving  map[string]bool
 	lastTick ebonywood.Millis
 }
@@ -64,20 +66,19 @@
 			return watch.writesIdle(now)
 		}
 	case ebonywood.SetAccepted:
-		promoter.adopt(now, event.Set())
+		promoter.set = event.Set()
+		promoter.adopt(now)
 	case ebonywood.HostsSeen:
-		promoter.leaving = event.Leaving()
-		for _, watch := range promoter.watches {
-			watch.setLeaving(promoter.leaving)
-		}
-	case ebonywood.PeersChanged:
-		promoter.peers = promoter.peers[:0]
-		for _, peer := range event.Peers() {
-			promoter.peers = append(promoter.peers, peer.Name())
+		if event.Revision() <= promoter.hosts {
+			return nil
 		}
+		promoter.hosts, promoter.leaving = event.Revision(), event.Leaving()
 		for _, watch := range promoter.watches {
-			watch.setRank(promoter.peers)
+			watch.setLeaving(promoter.leaving)
 		}
+	case ebonywood.OwnersChanged:
+		promoter.owners = event.Owners()
+		promoter.adopt(now)
 	}
 	return nil
 }
@@ -98,25 +99,41 @@
 	return actions
 }
 
-// adopt takes over the instances of a new set and keeps what is known of those
-// that stay.
-func (promoter *Promoter) adopt(now ebonywood.Millis, set *ebonywood.ObjectSet) {
+// adopt takes over the instances of the set that this proxy owns or stands in
+// for, and keeps what is known of those that stay. The others cost nothing here,
+// whatever the size of the set.
+func (promoter *Promoter) adopt(now ebonywood.Millis) {
+	if promoter.set == nil {
+		return
+	}
 	kept := map[ebonywood.InstanceID]*watch{}
 	promoter.order = promoter.order[:0]
-	for _, instance := range set.Instances() {
+	for _, instance := range promoter.set.Instances() {
+		rank, owned := promoter.rank(instance.ID())
+		if !owned {
+			continue
+		}
 		known, found := promoter.watches[instance.ID()]
 		if !found {
 			known = newWatch(instance.ID(), promoter.settings, now)
 		}
 		known.setMembers(instance.Members(), now)
 		known.setLeaving(promoter.leaving)
-		known.setRank(promoter.peers)
+		known.rank = rank
 		kept[instance.ID()] = known
 		promoter.order = append(promoter.order, instance.ID())
 	}
 	promoter.watches = kept
 }
 
+// rank is this proxy's place among the owners. A process without peers owns all.
+func (promoter *Promoter) rank(id ebonywood.InstanceID) (int, bool) {
+	if promoter.owners == nil {
+		return 0, true
+	}
+	return promoter.owners.Rank(id)
+}
+
 // Contribute adds the view of every instance.
 func (promoter *Promoter) Contribute(draft *ebonywood.Draft) {
 	for _, id := range promoter.order {
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -6,7 +6,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/ebonywood/ebonywood"
-	"github.com/ebonywood/ebonywood/internal/rendezvous"
 )
 
 // phase is what a watch is doing about its instance's primary.
@@ -119,10 +118,6 @@
 	watch.view = nil
 }
 
-func (watch *watch) setRank(peers []string) {
-	watch.rank = rendezvous.New(peers).Rank(string(watch.id), watch.settings.Name())
-}
-
 func (watch *watch) member(id ebonywood.MemberID) *known {
 	for _, entry := range watch.members {
 		if entry.member.ID() == id {
--- a/internal/edge/caller/conversation.go
+++ b/internal/edge/caller/conversation.go
@@ -176,8 +176,8 @@
 		each.setLane(lane)
 	}
 	lane := each.lane
-	each.checkAtMostOnce(request, lane)
-	sink := newSink(each, request, lane.IsPrimary(), inTransaction)
+	each.checkAtMostOnce(request)
+	sink := newSink(each, request, lane, inTransaction)
 	answer, err := lane.Exchange(ctx, request.forTarget(), sink)
 	if err != nil {
 		each.releaseLane()
@@ -197,9 +197,9 @@
 
 // checkAtMostOnce asserts that a request that may have been run on a primary is
 // not run there again, unless its route says that it is repeatable.
-func (each *conversation) checkAtMostOnce(request *callerRequest, lane ebonywood.Lane) {
-	unsafe := lane.IsPrimary() && !each.route.IsRepeatable()
-	each.edge.port.Invariants().Check(invariant.AtMostOnce, !unsafe || !request.inDoubt, string(each.instance))
+func (each *conversation) checkAtMostOnce(request *callerRequest) {
+	safe := each.route.IsRepeatable() || !request.inDoubt
+	each.edge.port.Invariants().Check(invariant.AtMostOnce, safe, string(each.instance))
 }
 
 // judge decides what a failed exchange means to the caller.
@@ -209,9 +209,9 @@
 	each.output = each.output[:sink.start]
 	if fault.Kind() == ebonywood.KindUnknown {
 		each.state.Doubted(each.edge.port.Clock().Now())
-		request.inDoubt = request.inDoubt || sink.primary
+		request.inDoubt = request.inDoubt || sink.lane.IsPrimary()
 	}
-	safe := !sink.primary || each.route.IsRepeatable()
+	safe := !sink.lane.IsPrimary() || each.route.IsRepeatable()
 	return retry.MayRepeat(fault.Kind(), inTransaction, safe, sink.relayed), fault
 }
 
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -27,11 +27,10 @@
 type sink struct {
 	session *conversation
 	request *callerRequest
-	primary bool
-	// mayMove says that a refused write can be sent to the primary, or that the
-	// transaction has to be run again there.
-	mayMove bool
-	closes  []bool
+	lane    ebonywood.Lane
+	// inTransaction says that a transaction was open before.
+	inTransaction bool
+	closes        []bool
 	// start is where this answer begins in the session's output buffer.
 	start   int
 	held    bool
@@ -40,22 +39,27 @@
 	message string
 }
 
-func newSink(session *conversation, request *callerRequest, primary, inTransaction bool) *sink {
+func newSink(session *conversation, request *callerRequest, lane ebonywood.Lane, inTransaction bool) *sink {
 	return &sink{
-		session: session, request: request, primary: primary, mayMove: primary || !inTransaction,
+		session: session, request: request, lane: lane, inTransaction: inTransaction,
 		closes: request.closes, start: len(session.output),
 	}
 }
 
+// mayMove reports whether a refused write can be sent to the primary, or its
+// transaction run again there. In a transaction on a replica the refusal is the
+// caller's own doing.
+func (sink *sink) mayMove() bool { return sink.lane.IsPrimary() || !sink.inTransaction }
+
 // Relay takes one message of the target.
 func (sink *sink) Relay(message []byte) error {
 	switch message[0] {
 	case frame.CloseComplete:
 		message = sink.answerClose(message)
 	case frame.CommandComplete:
-		sink.held = sink.primary
+		sink.held = sink.lane.IsPrimary()
 	case frame.ErrorResponse:
-		if !sink.relayed && sink.mayMove && sink.isRefusal(message) {
+		if !sink.relayed && sink.mayMove() && sink.isRefusal(message) {
 			sink.refused = true
 			sink.session.output = sink.session.output[:sink.start]
 			return nil
--- a/internal/edge/platform/platform.go
+++ b/internal/edge/platform/platform.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/kvclient"
 	"github.com/ebonywood/ebonywood/internal/publication"
@@ -94,11 +96,36 @@
 	})
 }
 
+// asWatcher makes a call while this proxy is one of the few that watch for the
+// others, so that the calls to the service don't grow with the fleet. The call is
+// broken off when others have taken over.
+func (edge *Edge) asWatcher(ctx context.Context, call func(context.Context) error) error {
+	isWatcher := func(snapshot *ebonywood.Snapshot) bool { return snapshot.Owners().IsWatcher() }
+	if _, err := edge.port.Await(ctx, isWatcher); err != nil {
+		return err
+	}
+	group := rungroup.New(ctx)
+	group.Go(func(ctx context.Context) error {
+		_, err := edge.port.Await(ctx, func(snapshot *ebonywood.Snapshot) bool { return !isWatcher(snapshot) })
+		group.Stop()
+		return err
+	})
+	err := call(group.Context())
+	group.Stop()
+	if waited := group.Wait(); waited != nil || ctx.Err() != nil {
+		return errors.CombineErrors(err, waited)
+	}
+	if snapshot := edge.port.Snapshot(); !isWatcher(snapshot) {
+		return nil
+	}
+	return err
+}
+
 // repeat calls a function for ever and backs off with jitter while it fails.
 func (edge *Edge) repeat(ctx context.Context, what string, call func(context.Context) error) error {
 	pause := retryPause
 	for ctx.Err() == nil {
-		err := call(ctx)
+		err := edge.asWatcher(ctx, call)
 		if err == nil {
 			pause = retryPause
 			continue
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -190,6 +190,10 @@
 		kernel.handle(ebonywood.NewSetAccepted(set))
 		return
 	}
+	if announce, ok := action.(ebonywood.AnnounceOwners); ok {
+		kernel.handle(ebonywood.NewOwnersChanged(announce.Owners()))
+		return
+	}
 	for _, edge := range kernel.edges {
 		if edge.Perform(action) {
 			return
--- a/internal/settingsfile/settingsfile.go
+++ b/internal/settingsfile/settingsfile.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"time"
 
 	"go.yaml.in/yaml/v3"
 
@@ -23,6 +24,7 @@
 // no edge.
 type Settings struct {
 	name              string
+	incarnation       int64
 	zone              string
 	callerAddress     string
 	peerAddress       string
@@ -48,7 +50,9 @@
 	if err != nil {
 		return Settings{}, ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "name a readable settings file")
 	}
-	return Parse(path, text)
+	settings, err := Parse(path, text)
+	settings.incarnation = time.Now().Unix()
+	return settings, err
 }
 
 // Parse checks a text; path names it in faults.
@@ -161,6 +165,10 @@
 // Name is the proxy's name, unique in the fleet.
 func (settings Settings) Name() string { return settings.name }
 
+// Incarnation is the time of the start in seconds; 0 if the settings were not
+// read from a file.
+func (settings Settings) Incarnation() int64 { return settings.incarnation }
+
 // Zone is the proxy's availability zone.
 func (settings Settings) Zone() string { return settings.zone }
 
--- a/message.go
+++ b/message.go
@@ -179,26 +179,14 @@
 
 func (WritesIdle) isEvent() {}
 
-// PeersChanged tells which proxies are believed to live, this one included.
-type PeersChanged struct {
-	peers []PeerView
-}
-
-// NewPeersChanged makes the event.
-func NewPeersChanged(peers []PeerView) PeersChanged { return PeersChanged{peers: peers} }
-
-// Peers are the live proxies.
-func (event PeersChanged) Peers() []PeerView { return event.peers }
-
-func (PeersChanged) isEvent() {}
-
 // HostsSeen is the platform's list of hosts that are leaving, which lags.
 type HostsSeen struct {
 	revision int64
 	leaving  map[string]bool
 }
 
-// NewHostsSeen makes the event; leaving holds addresses.
+// NewHostsSeen makes the event; leaving has every listed address and whether its
+// host is leaving.
 func NewHostsSeen(revision int64, leaving map[string]bool) HostsSeen {
 	return HostsSeen{revision: revision, leaving: leaving}
 }
@@ -206,7 +194,7 @@
 // Revision orders the lists.
 func (event HostsSeen) Revision() int64 { return event.revision }
 
-// Leaving holds the addresses of members whose hosts are on their way out; not
+// Leaving tells of every listed address whether its host is on its way out; not
 // to be changed.
 func (event HostsSeen) Leaving() map[string]bool { return event.leaving }
 
--- a/plugin.go
+++ b/plugin.go
@@ -59,6 +59,8 @@
 // the edge out.
 type Settings interface {
 	Name() string
+	// Incarnation orders the lives of a process: greater in each restart.
+	Incarnation() int64
 	Zone() string
 	CallerAddress() string
 	PeerAddress() string
--- a/snapshot.go
+++ b/snapshot.go
@@ -99,6 +99,9 @@
 	views    map[InstanceID]*InstanceView
 	draining bool
 	peers    []PeerView
+	owners   *Owners
+	news     []PeerUpdate
+	hosts    HostsSeen
 }
 
 // Set is the object set in force; nil before the first one.
@@ -116,6 +119,15 @@
 // Peers are the other proxies that are believed to live.
 func (snapshot *Snapshot) Peers() []PeerView { return snapshot.peers }
 
+// Owners tells which proxies serve an instance; never nil.
+func (snapshot *Snapshot) Owners() *Owners { return snapshot.owners }
+
+// News is what this process has to pass on about proxies.
+func (snapshot *Snapshot) News() []PeerUpdate { return snapshot.news }
+
+// Hosts is the newest list of hosts.
+func (snapshot *Snapshot) Hosts() HostsSeen { return snapshot.hosts }
+
 // PeerView is what is known of another proxy.
 type PeerView struct {
 	name    string
@@ -144,7 +156,7 @@
 
 // NewDraft makes an empty draft.
 func NewDraft() *Draft {
-	return &Draft{snapshot: Snapshot{views: map[InstanceID]*InstanceView{}}}
+	return &Draft{snapshot: Snapshot{views: map[InstanceID]*InstanceView{}, owners: &Owners{}}}
 }
 
 // SetObjects sets the object set in force.
@@ -156,8 +168,17 @@
 // SetDraining marks the process as leaving.
 func (draft *Draft) SetDraining() { draft.snapshot.draining = true }
 
-// AddPeer adds a live proxy.
-func (draft *Draft) AddPeer(peer PeerView) { draft.snapshot.peers = append(draft.snapshot.peers, peer) }
+// SetPeers sets the live proxies, this one included; not to be changed later.
+func (draft *Draft) SetPeers(peers []PeerView) { draft.snapshot.peers = peers }
+
+// SetOwners sets the table of owners.
+func (draft *Draft) SetOwners(owners *Owners) { draft.snapshot.owners = owners }
+
+// SetHosts sets the newest list of hosts.
+func (draft *Draft) SetHosts(hosts HostsSeen) { draft.snapshot.hosts = hosts }
+
+// SetNews sets what is to be passed on; not to be changed later.
+func (draft *Draft) SetNews(news []PeerUpdate) { draft.snapshot.news = news }
 
 // Publish ends the draft; it must not be used afterwards.
 func (draft *Draft) Publish() *Snapshot { return &draft.snapshot }
--- a/test/e2e/thin_test.go
+++ b/test/e2e/thin_test.go
@@ -83,6 +83,7 @@
 	callers  []string
 	proxies  []*exec.Cmd
 	operator []string
+	peers    []string
 }
 
 const objects = `
@@ -148,9 +149,11 @@
 }
 
 func (site *site) startProxy(t *testing.T, dir string, number int) {
-	caller, operator := freeAddress(t), freeAddress(t)
-	settings := fmt.Sprintf("name: p%d\nzone: z%d\ncallerAddress: %q\noperatorAddress: %q\nplatform:\n  addresses: [\"http://%s\"]\n",
-		number, number+1, caller, operator, site.platform)
+	caller, operator, peer := freeAddress(t), freeAddress(t), freeAddress(t)
+	settings := fmt.Sprintf("name: p%d\nzone: z%d\ncallerAddress: %q\noperatorAddress: %q\npeerAddress: %q\n"+
+		"seeds: [%q]\nplatform:\n  addresses: [\"http://%s\"]\n",
+		number, number+1, caller, operator, peer, append(site.peers, peer)[0], site.platform)
+	site.peers = append(site.peers, peer)
 	file := filepath.Join(dir, fmt.Sprintf("p%d.yaml", number))
 	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	site.proxies = append(site.proxies, start(t, "proxy", "--settings", file))
