Measure the path and the gaps; let a new primary be heard before it is judged

Its successor was suspected at once, because the replicas' last word on hearing a primary was from before the change, so the instance was fenced again and again. Replicas are not counted as deaf until the new primary has been known for the time of silence.

Ruled out: duels (the terms rose from one proxy only).

Also: metrics are looked up once a route and outcome, the account of service levels (internal/burn) is kept, a nil error is no fault, tests listen on an address from which nothing connects.

--- a/internal/decision/promoter/change.go
+++ b/internal/decision/promoter/change.go
@@ -17,6 +17,9 @@
 	if watch.isSilent(now, primary) {
 		return true
 	}
+	if now-watch.since <= watch.settings.PrimarySilence() {
+		return false
+	}
 	return watch.deafReplicas(now) > len(watch.members)-ebonywood.Majority(len(watch.members))
 }
 
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -74,6 +74,9 @@
 	// term is the highest term that a primary was seen in, primary its holder.
 	term    ebonywood.Term
 	primary ebonywood.MemberID
+	// since is when the primary became known. Its replicas need some time before
+	// they have heard of it.
+	since ebonywood.Millis
 
 	phase      phase
 	phaseTerm  ebonywood.Term
@@ -199,7 +202,7 @@
 	if event.Asked() >= entry.asked || !entry.ever {
 		entry.status, entry.asked, entry.ever = event.Status(), event.Asked(), true
 	}
-	watch.notePrimary(event.Order().Member(), event.Status())
+	watch.notePrimary(now, event.Order().Member(), event.Status())
 	watch.view = nil
 	switch event.Order().Order() {
 	case ebonywood.OrderFence:
@@ -215,8 +218,11 @@
 
 // notePrimary learns of a primary in a term that is not older than the known
 // one.
-func (watch *watch) notePrimary(id ebonywood.MemberID, status ebonywood.Status) {
+func (watch *watch) notePrimary(now ebonywood.Millis, id ebonywood.MemberID, status ebonywood.Status) {
 	if status.Role() == ebonywood.RolePrimary && status.Fenced() >= watch.term {
+		if watch.term != status.Fenced() || watch.primary != id {
+			watch.since = now
+		}
 		watch.term, watch.primary = status.Fenced(), id
 		return
 	}
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -46,6 +46,7 @@
 	sessions map[uint32]*conversation
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
+	meters   sync.Map
 }
 
 // New opens the port that the settings name.
--- a/internal/edge/caller/conversation.go
+++ b/internal/edge/caller/conversation.go
@@ -279,13 +279,13 @@
 	return err
 }
 
-// count feeds the metrics and the report on service levels.
+// count feeds the metrics and the account of service levels. What a caller asked
+// for in vain by its own fault does not count against the level.
 func (each *conversation) count(fault *ebonywood.Fault, took time.Duration) {
 	outcome := "answered"
 	if fault != nil {
 		outcome = fault.Kind().String()
 	}
-	scope := each.edge.port.Metrics().Tagged(map[string]string{"route": each.route.Name(), "outcome": outcome})
-	scope.Counter("requests").Inc(1)
-	scope.Timer("latency").Record(took)
+	each.edge.meter(each.route.Name(), outcome).record(took)
+	each.edge.port.Levels().Record(each.route.Name(), each.route.Objective(), fault == nil, took, each.edge.port.Clock().Now())
 }
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -56,6 +56,7 @@
 	mux.HandleFunc("GET /healthz", edge.health)
 	mux.HandleFunc("GET /readyz", edge.ready)
 	mux.HandleFunc("GET /status", edge.status)
+	mux.HandleFunc("GET /levels", edge.levels)
 	if scrape, offers := edge.port.(scraper); offers {
 		mux.Handle("GET /metrics", scrape.Scrape())
 	}
@@ -85,6 +86,12 @@
 	}
 }
 
+// levels is what 'ebonywood report' reads.
+func (edge *Edge) levels(writer http.ResponseWriter, _ *http.Request) {
+	writer.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(writer).Encode(edge.port.Levels().Lines(edge.port.Clock().Now()))
+}
+
 // report is the state of a process as 'ebonywood status' reads it.
 type report struct {
 	Name       string           `json:"name"`
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -183,8 +183,11 @@
 // Acquire leases a connection that meets the need. It waits through a change of
 // primary, since nothing has been sent yet.
 func (edge *Edge) Acquire(ctx context.Context, need ebonywood.Need) (ebonywood.Lane, error) {
-	ctx, cancel := context.WithTimeout(ctx, need.Deadline().Duration())
-	defer cancel()
+	if _, bounded := ctx.Deadline(); !bounded {
+		limited, cancel := context.WithTimeout(ctx, need.Deadline().Duration())
+		defer cancel()
+		ctx = limited
+	}
 	var last error
 	for {
 		route, view, err := edge.await(ctx, need)
@@ -195,10 +198,13 @@
 		if lane != nil {
 			return lane, nil
 		}
-		if fault := ebonywood.FaultOf(err); fault.Kind() == ebonywood.KindOverload || fault.Kind() == ebonywood.KindStale {
-			return nil, err
+		if err != nil {
+			kind := ebonywood.FaultOf(err).Kind()
+			if kind == ebonywood.KindOverload || kind == ebonywood.KindStale {
+				return nil, err
+			}
+			last = err
 		}
-		last = err
 		if ctx.Err() != nil {
 			return nil, timedOut(need, last)
 		}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -23,6 +23,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/burn"
 	"github.com/ebonywood/ebonywood/internal/clock"
 	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/metrics"
@@ -49,6 +50,7 @@
 	edges     []ebonywood.Edge
 	lanes     ebonywood.Lanes
 	checker   invariant.Checker
+	levels    burn.Ledger
 	inForce   uint64
 }
 
@@ -254,6 +256,9 @@
 	}
 }
 
+// Levels keeps the account of the routes' service levels.
+func (kernel *Kernel) Levels() ebonywood.Levels { return &kernel.levels }
+
 // Clock is the process's clock.
 func (kernel *Kernel) Clock() ebonywood.Clock { return kernel.clock }
 
--- a/plugin.go
+++ b/plugin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
@@ -43,12 +44,22 @@
 	Metrics() tally.Scope
 	// Invariants checks what must always hold.
 	Invariants() Invariants
+	// Levels keeps the account of the routes' service levels.
+	Levels() Levels
 	// Settings are the process's checked settings.
 	Settings() Settings
 	// Lanes is the target side; nil in a process without a target edge.
 	Lanes() Lanes
 }
 
+// Levels keeps the account of the service levels that routes promise.
+type Levels interface {
+	// Record counts one request.
+	Record(route string, objective Objective, answered bool, took time.Duration, now Millis)
+	// Lines returns the accounts in the form that the report reads, for JSON.
+	Lines(now Millis) any
+}
+
 // Invariants takes note of what must always hold.
 type Invariants interface {
 	// Check reports a violation when holds is false.
--- a/test/e2e/thin_test.go
+++ b/test/e2e/thin_test.go
@@ -21,6 +21,10 @@
 	_ "github.com/ebonywood/ebonywood/internal/command"
 )
 
+// loopback is where everything listens. Outgoing connections come from
+// 127.0.0.1, so they can't take a port here between its choice and its use.
+const loopback = "127.0.0.2"
+
 var binary string
 
 func TestMain(m *testing.M) {
@@ -41,7 +45,7 @@
 
 // freeAddress reserves a loopback port for a moment.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", loopback+":0")
 	require.NoError(t, err)
 	defer listener.Close()
 	return listener.Addr().String()
