Order the waiting work by class, cost and what it may block; refuse early

Cause: the load section showed paid work at 92.8% in time at a crest of 120% of the slots, and a p99 wait of short work of 32 ms with stragglers.

What can't end in time is taken out early, so no slot is spent on it.

--- a/internal/cost/cost.go
+++ b/internal/cost/cost.go
@@ -29,8 +29,9 @@
 	estimates map[uint64]time.Duration
 }
 
-// Learn takes the time that a statement of the shape held its slot.
-func (table *Table) Learn(shape uint64, took time.Duration) {
+// Learn takes the time that a statement of the shape held its slot, and reports
+// whether the shape is new.
+func (table *Table) Learn(shape uint64, took time.Duration) (isNew bool) {
 	if table.estimates == nil {
 		table.estimates = map[uint64]time.Duration{}
 	}
@@ -39,11 +40,13 @@
 	case !known:
 		table.makeRoom()
 		table.estimates[shape] = max(took, leastEstimate)
+		return true
 	case took > before:
 		table.estimates[shape] = min(before+time.Duration(float64(before)*stepUp)+time.Microsecond, took)
 	default:
 		table.estimates[shape] = max(before-time.Duration(float64(before)*stepDown), took, leastEstimate)
 	}
+	return false
 }
 
 // makeRoom forgets a shape, whichever the map yields first, when there are too
--- a/internal/edge/target/pool.go
+++ b/internal/edge/target/pool.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/ebonywood/ebonywood"
-	"github.com/ebonywood/ebonywood/internal/cost"
 	"github.com/ebonywood/ebonywood/internal/pgconn"
 	"github.com/ebonywood/ebonywood/internal/queue"
 )
@@ -47,8 +46,7 @@
 
 	mutex   sync.Mutex
 	queue   *queue.Queue
-	costs   cost.Table
-	grants  map[uint64]chan struct{}
+	grants  map[uint64]chan bool
 	tickets uint64
 	idle    []*conn
 	open    int
@@ -64,7 +62,7 @@
 func newPool(edge *Edge, member ebonywood.Member) *pool {
 	pool := &pool{
 		edge: edge, member: member, start: time.Now(), queue: queue.New(member.Slots()),
-		grants: map[uint64]chan struct{}{},
+		grants: map[uint64]chan bool{},
 	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -130,32 +128,41 @@
 	pool.mutex.Lock()
 	pool.tickets++
 	ticket := pool.tickets
-	expected, known := pool.costs.Expect(need.Shape())
+	expected, known := pool.edge.expect(need.Shape())
 	now := time.Since(pool.start)
 	deadline := now + need.Deadline().Duration()
 	if until, bounded := ctx.Deadline(); bounded {
 		deadline = min(deadline, now+time.Until(until))
 	}
-	wait, accepted := pool.queue.Push(ticket, route.Name(), route.Weight(), route.IsPaid(), expected, known, now, deadline)
+	wait, accepted := pool.queue.Push(ticket, need.Shape(), route.Name(), route.Weight(), route.IsPaid(),
+		expected, known, now, deadline)
 	if !accepted {
 		pool.mutex.Unlock()
-		pool.edge.port.Metrics().Tagged(map[string]string{"route": route.Name(), "limit": "slots"}).Counter("refused").Inc(1)
-		return 0, ebonywood.NewFault(ebonywood.KindOverload,
-			fmt.Sprintf("the predicted wait for a slot of %s is %d ms", pool.member.ID(), wait.Milliseconds()),
-			fmt.Sprintf("the request was not run; send it again in %d ms", wait.Milliseconds()))
+		return 0, pool.refuse(route, wait)
 	}
-	granted := make(chan struct{})
+	granted := make(chan bool, 1)
 	pool.grants[ticket] = granted
 	pool.grant()
 	pool.mutex.Unlock()
 	select {
-	case <-granted:
+	case started := <-granted:
+		if !started {
+			return 0, pool.refuse(route, wait)
+		}
 		return ticket, nil
 	case <-ctx.Done():
 		return 0, pool.withdraw(ticket, ctx.Err())
 	}
 }
 
+// refuse tells a caller early that its request will not be run in time.
+func (pool *pool) refuse(route *ebonywood.Route, wait time.Duration) error {
+	pool.edge.port.Metrics().Tagged(map[string]string{"route": route.Name(), "limit": "slots"}).Counter("refused").Inc(1)
+	return ebonywood.NewFault(ebonywood.KindOverload,
+		fmt.Sprintf("the predicted wait for a slot of %s is %d ms", pool.member.ID(), wait.Milliseconds()),
+		fmt.Sprintf("the request was not run; send it again in %d ms", wait.Milliseconds()))
+}
+
 // withdraw takes a ticket back that was not granted, or frees its slot if the
 // grant came at the same moment.
 func (pool *pool) withdraw(ticket uint64, cause error) error {
@@ -173,15 +180,23 @@
 
 // grant gives the free slots to what waits; the mutex is held.
 func (pool *pool) grant() {
+	now := time.Since(pool.start)
+	for _, ticket := range pool.queue.Evict(now) {
+		pool.answer(ticket, false)
+	}
 	for {
-		ticket, found := pool.queue.Pop(time.Since(pool.start))
+		ticket, found := pool.queue.Pop()
 		if !found {
 			return
 		}
-		if granted, waits := pool.grants[ticket]; waits {
-			close(granted)
-			delete(pool.grants, ticket)
-		}
+		pool.answer(ticket, true)
+	}
+}
+
+func (pool *pool) answer(ticket uint64, started bool) {
+	if granted, waits := pool.grants[ticket]; waits {
+		granted <- started
+		delete(pool.grants, ticket)
 	}
 }
 
@@ -189,7 +204,9 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.queue.Done(ticket, took)
-	pool.costs.Learn(shape, took)
+	if pool.edge.learn(shape, took) {
+		pool.queue.Learned(shape, took)
+	}
 	pool.grant()
 }
 
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/cost"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/router"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -35,6 +37,10 @@
 	controls   map[ebonywood.MemberID]*controller
 	confirmers map[ebonywood.InstanceID]*confirmer
 	gates      map[ebonywood.InstanceID]*gate
+
+	// costMutex is held for a moment at each statement, apart from the mutex above.
+	costMutex sync.Mutex
+	costs     cost.Table
 }
 
 // New makes the edge. The holder name under which it fences is new in each
@@ -292,6 +298,20 @@
 	return rule.AllowsOver(lane.Member(), lane.conn.opened, lane.conn.applied)
 }
 
+// expect returns what statements of the shape are expected to cost. All members
+// share what was learned, so that a new shape is new only once.
+func (edge *Edge) expect(shape uint64) (time.Duration, bool) {
+	edge.costMutex.Lock()
+	defer edge.costMutex.Unlock()
+	return edge.costs.Expect(shape)
+}
+
+func (edge *Edge) learn(shape uint64, took time.Duration) (isNew bool) {
+	edge.costMutex.Lock()
+	defer edge.costMutex.Unlock()
+	return edge.costs.Learn(shape, took)
+}
+
 // leastLoaded chooses the member with the least expected wait; nil if none of
 // them accepts connections.
 func (edge *Edge) leastLoaded(members []ebonywood.Member) *pool {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -7,7 +7,9 @@
 	"context"
 	"fmt"
 	"net"
+	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -109,13 +111,31 @@
 	return nil
 }
 
+const (
+	firstPort = 20_000
+	lastPort  = 60_000
+)
+
+// ports is the last port that was handed out: no port is handed out twice by one
+// process, so deployments that start side by side don't collide.
+var ports atomic.Int64
+
+func init() { ports.Store(firstPort + int64(os.Getpid()*97%(lastPort-firstPort))) }
+
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", loopback+":0")
-	if err != nil {
-		return "", err
+	for range lastPort - firstPort {
+		port := ports.Add(1)
+		if port > lastPort {
+			ports.Store(firstPort)
+			continue
+		}
+		address := fmt.Sprintf("%s:%d", loopback, port)
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", ebonywood.NewFault(ebonywood.KindUnavailable, "no free port", "end other processes on this host")
 }
 
 // Objects is the text of the object set. leaving names a member that is on its
--- a/test/measure/main.go
+++ b/test/measure/main.go
@@ -28,7 +28,7 @@
 func main() {
 	root := &cobra.Command{
 		Use: "measure [SECTION...]", Short: "Print the project's measurements", SilenceUsage: true,
-		RunE: func(command *cobra.Command, names []string) error { return run(command.Context(), names) },
+		RunE: func(command *cobra.Command, names []string) error { return runSections(command.Context(), names) },
 	}
 	for _, each := range sections {
 		root.Long += fmt.Sprintf("  %-8s %s\n", each.name, each.help)
@@ -38,7 +38,7 @@
 	}
 }
 
-func run(ctx context.Context, names []string) error {
+func runSections(ctx context.Context, names []string) error {
 	wanted := map[string]bool{}
 	for _, name := range names {
 		wanted[name] = true
