Measure spread and fleet cost; make control cost independent of the fleet

Cause: the fleet section gave 65 ms/s of processor time at 7,400 nodes (limit 13 ms/s), 125 missing beliefs at 320 nodes, and 8.6 s for the first table of owners.

Proxies that stand in for an owner ask for status at a tenth of its rate. The head record carries small contents, so one message tells of a set and brings it.

--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -11,6 +11,7 @@
 package membership
 
 import (
+	"maps"
 	"math/bits"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +34,8 @@
 	probeLimit ebonywood.Millis = 400
 	// helpers is how many others repeat a failed probe.
 	helpers = 3
+	// sampleFactor is how many more are drawn to find helpers in other zones.
+	sampleFactor = 4
 	// suspicionPeriods, times the logarithm of the fleet, is how many probe
 	// periods a suspect has to refute.
 	suspicionPeriods = 3
@@ -48,6 +51,9 @@
 	pushCount = 3
 	// watcherCount is how many proxies watch the platform's store.
 	watcherCount = 2
+	// leastExchange and exchangeShare space the exchanges of all beliefs.
+	leastExchange = 32
+	exchangeShare = 4
 	// watcherKey orders the proxies for watching.
 	watcherKey = "platform"
 	// forgetAfter is when a dead proxy is forgotten.
@@ -63,14 +69,17 @@
 
 // Membership is the decision.
 type Membership struct {
-	self       ebonywood.PeerView
-	own        uint64
-	leaving    bool
-	seeds      []string
-	hosts      []string
-	hostsSeen  ebonywood.HostsSeen
-	random     *rand.Rand
-	beliefs    map[string]*belief
+	self      ebonywood.PeerView
+	own       uint64
+	leaving   bool
+	seeds     []string
+	hosts     []string
+	hostsSeen ebonywood.HostsSeen
+	random    *rand.Rand
+	beliefs   map[string]*belief
+	// doubtful are the suspects and the dead, which time alone moves on.
+	doubtful   map[string]struct{}
+	addresses  map[string]bool
 	ring       []string
 	nextProbe  ebonywood.Millis
 	lastTick   ebonywood.Millis
@@ -113,10 +122,10 @@
 		self:    ebonywood.NewPeerView(settings.Name(), settings.Zone(), settings.PeerAddress()),
 		seeds:   settings.Seeds(),
 		random:  rand.New(rand.NewPCG(seed, seed)),
-		beliefs: map[string]*belief{},
-		probes:  map[uint64]*probe{},
-		table:   rendezvous.New(ebonywood.OwnerCount),
-		own:     uint64(max(settings.Incarnation(), 1)),
+		beliefs: map[string]*belief{}, doubtful: map[string]struct{}{},
+		probes: map[uint64]*probe{},
+		table:  rendezvous.New(ebonywood.OwnerCount),
+		own:    uint64(max(settings.Incarnation(), 1)),
 	}
 	membership.table.SetKeys([]string{watcherKey})
 	membership.table.Join(membership.self.Name())
@@ -155,11 +164,11 @@
 		membership.forgive(gap)
 	}
 	actions := membership.expireProbes(now)
-	membership.expireSuspects(now)
 	if now < membership.nextProbe || membership.self.Address() == "" {
 		return actions
 	}
 	membership.nextProbe = now + probePeriod
+	membership.expireSuspects(now)
 	return append(actions, membership.probeNext(now)...)
 }
 
@@ -173,6 +182,12 @@
 
 func (membership *Membership) probeNext(now ebonywood.Millis) []ebonywood.Action {
 	membership.sent++
+	if membership.sent%membership.exchangeEvery() == 0 && len(membership.peers) > 1 {
+		address := membership.peers[membership.random.IntN(len(membership.peers))].Address()
+		if address != membership.self.Address() {
+			return []ebonywood.Action{ebonywood.NewProbePeer(address, "", 0, true, membership.takeNews())}
+		}
+	}
 	if address, found := membership.stranger(); found {
 		return []ebonywood.Action{ebonywood.NewProbePeer(address, "", 0, true, membership.takeNews())}
 	}
@@ -183,24 +198,27 @@
 	return []ebonywood.Action{membership.startProbe(now, name)}
 }
 
+// exchangeEvery is how many probes go by before one asks for all that the other
+// knows, since news may miss a proxy by chance. It grows with the fleet, as the
+// answer does, so that the bytes a second stay the same.
+func (membership *Membership) exchangeEvery() uint64 {
+	return uint64(max(leastExchange, len(membership.peers)/exchangeShare))
+}
+
 // stranger picks, now and then, an address that is not among the live.
 func (membership *Membership) stranger() (string, bool) {
 	if len(membership.peers) > 1 && membership.sent%recontactEvery != 0 {
 		return "", false
 	}
-	known := map[string]bool{membership.self.Address(): true}
-	for _, peer := range membership.peers {
-		known[peer.Address()] = true
-	}
 	var strangers []string
 	for _, address := range slices.Concat(membership.seeds, membership.hosts) {
-		if !known[address] {
+		if !membership.addresses[address] {
 			strangers = append(strangers, address)
 		}
 	}
-	for _, belief := range membership.beliefs {
-		if belief.update.State() == ebonywood.PeerDead {
-			strangers = append(strangers, belief.update.Peer().Address())
+	for name := range membership.doubtful {
+		if known := membership.beliefs[name].update; known.State() == ebonywood.PeerDead {
+			strangers = append(strangers, known.Peer().Address())
 		}
 	}
 	if len(strangers) == 0 {
@@ -261,12 +279,7 @@
 func (membership *Membership) askHelpers(now ebonywood.Millis, waiting *probe) []ebonywood.Action {
 	waiting.until = now + probeLimit
 	target := membership.beliefs[waiting.name].update.Peer()
-	candidates := slices.DeleteFunc(slices.Clone(membership.peers), func(peer ebonywood.PeerView) bool {
-		return peer.Name() == target.Name() || peer.Name() == membership.self.Name()
-	})
-	membership.random.Shuffle(len(candidates), func(i, j int) {
-		candidates[i], candidates[j] = candidates[j], candidates[i]
-	})
+	candidates := membership.sample(target.Name())
 	slices.SortStableFunc(candidates, func(left, right ebonywood.PeerView) int {
 		return sameZone(left, membership.self) - sameZone(right, membership.self)
 	})
@@ -281,6 +294,18 @@
 	return actions
 }
 
+// sample draws a few live proxies other than this one and the target.
+func (membership *Membership) sample(target string) []ebonywood.PeerView {
+	var drawn []ebonywood.PeerView
+	for range helpers * sampleFactor {
+		peer := membership.peers[membership.random.IntN(len(membership.peers))]
+		if peer.Name() != target && peer.Name() != membership.self.Name() && !slices.Contains(drawn, peer) {
+			drawn = append(drawn, peer)
+		}
+	}
+	return drawn
+}
+
 func sameZone(peer, self ebonywood.PeerView) int {
 	if peer.Zone() == self.Zone() {
 		return 1
@@ -322,12 +347,14 @@
 // after a while.
 func (membership *Membership) expireSuspects(now ebonywood.Millis) {
 	span := probePeriod * ebonywood.Millis(suspicionPeriods*membership.logarithm())
-	for name, known := range membership.beliefs {
+	for _, name := range slices.Sorted(maps.Keys(membership.doubtful)) {
+		known := membership.beliefs[name]
 		switch {
 		case known.update.State() == ebonywood.PeerSuspect && now-known.since > span:
 			membership.believe(now, ebonywood.NewPeerUpdate(known.update.Peer(), known.update.Incarnation(), ebonywood.PeerDead))
 		case known.update.State() >= ebonywood.PeerDead && now-known.since > forgetAfter:
 			delete(membership.beliefs, name)
+			delete(membership.doubtful, name)
 		}
 	}
 }
@@ -360,6 +387,11 @@
 	wasLive := found && known.update.State() <= ebonywood.PeerSuspect
 	moved := found && known.update.Peer() != update.Peer()
 	membership.beliefs[name] = &belief{update: update, since: now}
+	if update.State() == ebonywood.PeerAlive {
+		delete(membership.doubtful, name)
+	} else {
+		membership.doubtful[name] = struct{}{}
+	}
 	membership.spread(update)
 	isLive := update.State() <= ebonywood.PeerSuspect
 	if wasLive != isLive || moved {
@@ -440,10 +472,7 @@
 
 // push probes a few proxies at once.
 func (membership *Membership) push() []ebonywood.Action {
-	others := slices.DeleteFunc(slices.Clone(membership.peers), func(peer ebonywood.PeerView) bool {
-		return peer.Name() == membership.self.Name()
-	})
-	membership.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	others := membership.sample(membership.self.Name())
 	var actions []ebonywood.Action
 	for _, peer := range others[:min(pushCount, len(others))] {
 		actions = append(actions, ebonywood.NewProbePeer(peer.Address(), "", 0, false, membership.takeNews()))
@@ -498,6 +527,10 @@
 	}
 	slices.SortFunc(peers, func(left, right ebonywood.PeerView) int { return strings.Compare(left.Name(), right.Name()) })
 	membership.peers = peers
+	membership.addresses = make(map[string]bool, len(peers))
+	for _, peer := range peers {
+		membership.addresses[peer.Address()] = true
+	}
 	byInstance := map[ebonywood.InstanceID][]ebonywood.PeerView{}
 	if membership.set != nil {
 		for _, instance := range membership.set.Instances() {
--- a/internal/decision/promoter/change.go
+++ b/internal/decision/promoter/change.go
@@ -17,7 +17,7 @@
 	if watch.isSilent(now, primary) {
 		return true
 	}
-	if now-watch.since <= watch.settings.PrimarySilence() {
+	if now-watch.since <= watch.silence() {
 		return false
 	}
 	return watch.deafReplicas(now) > len(watch.members)-ebonywood.Majority(len(watch.members))
@@ -26,11 +26,11 @@
 // isSilent asks for more than a silent connection: one that was opened after the
 // member was last heard must have failed too.
 func (watch *watch) isSilent(now ebonywood.Millis, entry *known) bool {
-	return now-entry.heard > watch.settings.PrimarySilence() && entry.failed && entry.missed > entry.heard
+	return now-entry.heard > watch.silence() && entry.failed && entry.missed > entry.heard
 }
 
 func (watch *watch) isRecent(now ebonywood.Millis, entry *known) bool {
-	return entry.ever && now-entry.heard <= watch.settings.PrimarySilence()
+	return entry.ever && now-entry.heard <= watch.silence()
 }
 
 // reachableMajority reports whether a change of primary could succeed from here.
@@ -56,7 +56,7 @@
 }
 
 func (watch *watch) hears(now ebonywood.Millis, entry *known) bool {
-	return entry.status.UpstreamAge()+(now-entry.heard) <= watch.settings.PrimarySilence()
+	return entry.status.UpstreamAge()+(now-entry.heard) <= watch.silence()
 }
 
 // witnessed reports whether a replica in reach hears the primary, which means
@@ -77,7 +77,7 @@
 	}
 	delay := ebonywood.Millis(watch.rank) * stagger
 	if watch.primary == "" {
-		delay += watch.settings.PrimarySilence()
+		delay += watch.silence()
 	} else if watch.witnessed(now) {
 		delay += witnessPatience
 	}
--- a/internal/decision/promoter/promoter.go
+++ b/internal/decision/promoter/promoter.go
@@ -119,7 +119,7 @@
 		}
 		known.setMembers(instance.Members(), now)
 		known.setLeaving(promoter.leaving)
-		known.rank = rank
+		known.setRank(rank, now)
 		kept[instance.ID()] = known
 		promoter.order = append(promoter.order, instance.ID())
 	}
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -41,6 +41,8 @@
 	holdLimit ebonywood.Millis = 40
 	// moveRetry is the pause after a planned change that could not be made.
 	moveRetry ebonywood.Millis = 1000
+	// standbyFactor is how much rarer the rounds of those are that stand in.
+	standbyFactor = 10
 	// backoffLimit bounds the random part of the pause after a lost duel.
 	backoffLimit ebonywood.Millis = 250
 )
@@ -121,6 +123,14 @@
 	watch.view = nil
 }
 
+// setRank changes this proxy's place among the owners; a new owner asks at once.
+func (watch *watch) setRank(rank int, now ebonywood.Millis) {
+	if rank < watch.rank {
+		watch.nextRound = now
+	}
+	watch.rank = rank
+}
+
 func (watch *watch) member(id ebonywood.MemberID) *known {
 	for _, entry := range watch.members {
 		if entry.member.ID() == id {
@@ -166,11 +176,26 @@
 
 func (watch *watch) beginRound(now ebonywood.Millis) []ebonywood.Action {
 	watch.rounds++
-	watch.nextRound = now + watch.settings.StatusPeriod()
+	watch.nextRound = now + watch.period()
 	watch.round = newRound(watch.rounds, now, len(watch.members))
 	return watch.orderAll(ebonywood.OrderStatus, 0)
 }
 
+// period is the time between two rounds. Those that stand in for the owner watch
+// less often while all is well, since most of a node's control traffic would
+// else be theirs.
+func (watch *watch) period() ebonywood.Millis {
+	if watch.rank == 0 || watch.suspicious || watch.primary == "" {
+		return watch.settings.StatusPeriod()
+	}
+	return watch.settings.StatusPeriod() * standbyFactor
+}
+
+// silence is how long a member may be silent: longer where rounds are rarer.
+func (watch *watch) silence() ebonywood.Millis {
+	return watch.settings.PrimarySilence() + watch.period() - watch.settings.StatusPeriod()
+}
+
 func (watch *watch) orderAll(order ebonywood.Order, term ebonywood.Term) []ebonywood.Action {
 	actions := make([]ebonywood.Action, 0, len(watch.members))
 	for _, entry := range watch.members {
--- a/internal/publication/publication.go
+++ b/internal/publication/publication.go
@@ -1,6 +1,8 @@
 // Package publication puts object sets into the platform's store.
 //
-// The content goes under its hash, where it never changes. Then one
+// The content goes under its hash, compressed, where it never changes; a small
+// one travels in the head record too, so that the one message that tells of a new
+// set also brings it, even if the store goes down right behind it. Then one
 // compare-and-swap of the head record accepts it. The head record carries a
 // publish id of the publisher's own, so that a lost answer is settled by reading
 // the head: whoever finds its own id, or a later head that names it as its
@@ -8,11 +10,15 @@
 package publication
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 
 	"github.com/ebonywood/ebonywood"
@@ -30,6 +36,11 @@
 	settlePause = 100 * time.Millisecond
 	// historyLength is how many predecessors a head names.
 	historyLength = 16
+	// inlineSize bounds the compressed content that the head record carries.
+	inlineSize = 128 << 10
+	// valueSize bounds a value of the store, contentSize what it unpacks to.
+	valueSize   = 1 << 20
+	contentSize = 64 << 20
 )
 
 // Publication publishes and reads sets.
@@ -46,6 +57,7 @@
 	Hash       string   `json:"hash"`
 	PublishID  string   `json:"publishId"`
 	Earlier    []string `json:"earlier,omitempty"`
+	Content    []byte   `json:"content,omitempty"`
 }
 
 // Head reads the accepted set; nil when none was published. revision is the
@@ -92,11 +104,16 @@
 }
 
 func (publication *Publication) load(ctx context.Context, current head) (*ebonywood.ObjectSet, error) {
-	content, revision, err := publication.store.Get(ctx, contentSpace+current.Hash)
-	if err != nil {
-		return nil, err
+	packed := current.Content
+	if len(packed) == 0 {
+		stored, _, err := publication.store.Get(ctx, contentSpace+current.Hash)
+		if err != nil {
+			return nil, err
+		}
+		packed = stored
 	}
-	if revision == 0 || objectfile.Hash(content) != current.Hash {
+	content, err := unpack(packed)
+	if err != nil || objectfile.Hash(content) != current.Hash {
 		return nil, ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("the content of set %s is missing", current.Hash),
 			"publish the set again")
 	}
@@ -110,7 +127,11 @@
 		return 0, err
 	}
 	hash := objectfile.Hash(content)
-	if err := publication.storeContent(ctx, hash, content); err != nil {
+	packed, err := pack(content)
+	if err != nil {
+		return 0, err
+	}
+	if err := publication.storeContent(ctx, hash, packed); err != nil {
 		return 0, err
 	}
 	current, revision, err := publication.readHead(ctx)
@@ -121,6 +142,9 @@
 		return 0, conflict(current, expect)
 	}
 	next := head{Generation: expect + 1, Hash: hash, PublishID: uuid.NewString(), Earlier: current.lineage()}
+	if len(packed) <= inlineSize {
+		next.Content = packed
+	}
 	text, err := json.Marshal(next)
 	if err != nil {
 		return 0, err
@@ -139,6 +163,29 @@
 	return next.Generation, nil
 }
 
+func pack(content []byte) ([]byte, error) {
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	_, writeErr := writer.Write(content)
+	if err := errors.Join(writeErr, writer.Close()); err != nil {
+		return nil, err
+	}
+	if packed.Len() > valueSize {
+		return nil, ebonywood.NewFault(ebonywood.KindBadInput,
+			fmt.Sprintf("the set has %d bytes compressed, the store holds %d", packed.Len(), valueSize),
+			"take out objects that are not used, and comments")
+	}
+	return packed.Bytes(), nil
+}
+
+func unpack(packed []byte) ([]byte, error) {
+	reader, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(io.LimitReader(reader, contentSize))
+}
+
 // lineage names the head and what it replaced.
 func (current head) lineage() []string {
 	if current.PublishID == "" {
@@ -148,12 +195,12 @@
 	return lineage[:min(len(lineage), historyLength)]
 }
 
-func (publication *Publication) storeContent(ctx context.Context, hash string, content []byte) error {
+func (publication *Publication) storeContent(ctx context.Context, hash string, packed []byte) error {
 	_, revision, err := publication.store.Get(ctx, contentSpace+hash)
 	if err != nil || revision > 0 {
 		return err
 	}
-	if _, err := publication.store.Swap(ctx, contentSpace+hash, content, 0); err != nil {
+	if _, err := publication.store.Swap(ctx, contentSpace+hash, packed, 0); err != nil {
 		// The answer may have been lost after the effect.
 		_, revision, readErr := publication.store.Get(ctx, contentSpace+hash)
 		if readErr != nil || revision == 0 {
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -10,7 +10,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -19,10 +18,20 @@
 // safe for concurrent use.
 type Table struct {
 	depth int
-	names map[string]struct{}
+	// names is a list, since it is walked for each new key; index finds a name.
+	names []hashed
+	index map[string]int
 	tops  map[string][]place
 }
 
+// hashed is a text with its hash, which is computed once.
+type hashed struct {
+	text string
+	hash uint64
+}
+
+func newHashed(text string) hashed { return hashed{text: text, hash: xxhash.Sum64String(text)} }
+
 type place struct {
 	name   string
 	weight uint64
@@ -30,7 +39,7 @@
 
 // New makes a table that keeps the first depth names of each key.
 func New(depth int) *Table {
-	return &Table{depth: depth, names: map[string]struct{}{}, tops: map[string][]place{}}
+	return &Table{depth: depth, index: map[string]int{}, tops: map[string][]place{}}
 }
 
 // SetKeys makes keys the keys of the table.
@@ -48,21 +57,31 @@
 
 // Join adds a name.
 func (table *Table) Join(name string) {
-	if _, known := table.names[name]; known {
+	if _, known := table.index[name]; known {
 		return
 	}
-	table.names[name] = struct{}{}
+	added := newHashed(name)
+	table.index[name] = len(table.names)
+	table.names = append(table.names, added)
 	for key, top := range table.tops {
-		table.tops[key] = table.insert(top, place{name: name, weight: weight(key, name)})
+		candidate := place{name: name, weight: weigh(xxhash.Sum64String(key), added.hash)}
+		if table.belongs(top, candidate) {
+			table.tops[key] = table.insert(slices.Clone(top), candidate)
+		}
 	}
 }
 
 // Leave removes a name.
 func (table *Table) Leave(name string) {
-	if _, known := table.names[name]; !known {
+	at, known := table.index[name]
+	if !known {
 		return
 	}
-	delete(table.names, name)
+	last := table.names[len(table.names)-1]
+	table.names[at] = last
+	table.index[last.text] = at
+	table.names = table.names[:len(table.names)-1]
+	delete(table.index, name)
 	for key, top := range table.tops {
 		if slices.ContainsFunc(top, func(each place) bool { return each.name == name }) {
 			table.tops[key] = table.order(key)
@@ -80,25 +99,29 @@
 }
 
 func (table *Table) order(key string) []place {
-	var top []place
-	for name := range table.names {
-		top = table.insert(top, place{name: name, weight: weight(key, name)})
+	hash := xxhash.Sum64String(key)
+	top := make([]place, 0, table.depth+1)
+	for _, name := range table.names {
+		candidate := place{name: name.text, weight: weigh(hash, name.hash)}
+		if table.belongs(top, candidate) {
+			top = table.insert(top, candidate)
+		}
 	}
 	return top
 }
 
+// belongs reports whether a place is among the first.
+func (table *Table) belongs(top []place, candidate place) bool {
+	return len(top) < table.depth || before(candidate, top[len(top)-1])
+}
+
 // insert puts a place in order and cuts the list to the table's depth.
 func (table *Table) insert(top []place, added place) []place {
-	if len(top) == table.depth && !before(added, top[len(top)-1]) {
-		return top
+	index := 0
+	for index < len(top) && before(top[index], added) {
+		index++
 	}
-	index, _ := slices.BinarySearchFunc(top, added, func(each, wanted place) int {
-		if before(each, wanted) {
-			return -1
-		}
-		return 1
-	})
-	top = slices.Insert(slices.Clone(top), index, added)
+	top = slices.Insert(top, index, added)
 	return top[:min(len(top), table.depth)]
 }
 
@@ -107,16 +130,13 @@
 	if left.weight != right.weight {
 		return left.weight > right.weight
 	}
-	return strings.Compare(left.name, right.name) < 0
+	return left.name < right.name
 }
 
-// weight mixes two hashes, so that the text is hashed once for each name and key
-// without being joined.
-func weight(key, name string) uint64 {
-	mixed := xxhash.Sum64String(key)*0x9E3779B97F4A7C15 ^ xxhash.Sum64String(name)
-	mixed ^= mixed >> 32
-	mixed *= 0xD6E8FEB86659FD93
-	mixed ^= mixed >> 32
-	mixed *= 0xD6E8FEB86659FD93
+// weigh mixes two hashes into a weight that is random for each pair.
+func weigh(key, name uint64) uint64 {
+	mixed := key*0x9E3779B97F4A7C15 ^ name
+	mixed = (mixed ^ mixed>>32) * 0xD6E8FEB86659FD93
+	mixed = (mixed ^ mixed>>32) * 0xD6E8FEB86659FD93
 	return mixed ^ mixed>>32
 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -327,3 +327,14 @@
 	site.group.Stop()
 	_ = site.group.Wait()
 }
+
+// InForce reports whether the first so many proxies have the set published last.
+func (site *Site) InForce(proxies int) bool {
+	for _, proxy := range site.proxies[:proxies] {
+		set := proxy.Snapshot().Set()
+		if set == nil || set.Generation() < site.published {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/standin/kvserver/kvserver.go
+++ b/internal/standin/kvserver/kvserver.go
@@ -38,6 +38,7 @@
 	writes *rate.Limiter
 	reads  *rate.Limiter
 	calls  atomic.Int64
+	open   atomic.Int64
 	down   atomic.Bool
 	delay  atomic.Int64
 	lose   atomic.Int64
@@ -95,6 +96,9 @@
 // Calls counts the calls so far; a watch counts as one.
 func (server *Server) Calls() int64 { return server.calls.Load() }
 
+// Watches counts the watches that wait now.
+func (server *Server) Watches() int64 { return server.open.Load() }
+
 // Dump copies all entries, and Restore puts such a copy back, as an operator
 // does who restores an old backup. Revisions go on growing.
 func (server *Server) Dump() map[string][]byte {
@@ -411,6 +415,8 @@
 	if !decode(writer, request, &wanted) {
 		return
 	}
+	server.open.Add(1)
+	defer server.open.Add(-1)
 	next, _ := strconv.ParseInt(wanted.Create.StartRevision, 10, 64)
 	flusher := http.NewResponseController(writer)
 	answer(writer, map[string]any{"result": map[string]any{"created": true}})
@@ -420,15 +426,16 @@
 		found := server.entries[string(wanted.Create.Key)]
 		changed := server.changed
 		server.mutex.Unlock()
-		if server.isCut(request) {
-			return
-		}
+		// What was committed before an outage still reaches those that wait for it.
 		if found.revision >= next && found.revision > 0 {
 			next = found.revision + 1
 			event := map[string]any{"kv": found.keyValue(string(wanted.Create.Key))}
 			answer(writer, map[string]any{"result": map[string]any{"events": []any{event}}})
 			_ = flusher.Flush()
 		}
+		if server.isCut(request) {
+			return
+		}
 		select {
 		case <-changed:
 		case <-request.Context().Done():
