Add the operators' commands, callers' authentication and session settings

Cause: one process that can't be configured and watched safely is no product, and what one session set leaked to the next user of its connection.

--- a/fault.go
+++ b/fault.go
@@ -25,6 +25,8 @@
 	KindConflict
 	// KindUnavailable is an outside service that does not answer.
 	KindUnavailable
+	// KindDenied is a caller that could not prove who it is.
+	KindDenied
 )
 
 // SQLSTATE codes that the proxy itself issues.
@@ -37,6 +39,7 @@
 	stateOverload    = "53400"
 	stateConflict    = "40001"
 	stateUnavailable = "08001"
+	stateDenied      = "28P01"
 )
 
 // SQLState is the code that a caller receives for the kind.
@@ -56,6 +59,8 @@
 		return stateConflict
 	case KindUnavailable:
 		return stateUnavailable
+	case KindDenied:
+		return stateDenied
 	default:
 		return stateInternal
 	}
@@ -78,6 +83,8 @@
 		return "conflict"
 	case KindUnavailable:
 		return "unavailable"
+	case KindDenied:
+		return "denied"
 	default:
 		return "internal"
 	}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -74,7 +74,8 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newProxy(), newCheck(), newPublish(), newStandin(), newVersion())
+	root.AddCommand(newProxy(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
+		newDemo(), newStandin(), newVersion())
 	return root
 }
 
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/uber-go/tally/v4"
@@ -59,6 +60,8 @@
 func newPublish() *cobra.Command {
 	var addresses []string
 	var expect int64
+	var wait time.Duration
+	var proxies []string
 	command := &cobra.Command{
 		Use:   "publish FILES",
 		Short: "Check an object set and put it in force everywhere",
@@ -82,10 +85,15 @@
 				return err
 			}
 			fmt.Fprintf(command.OutOrStdout(), "generation %d accepted\n", generation)
-			return nil
+			if wait == 0 {
+				return nil
+			}
+			return awaitInForce(command, proxies, generation, wait)
 		},
 	}
 	platformFlag(command, &addresses)
+	proxiesFlag(command, &proxies)
+	command.Flags().DurationVar(&wait, "wait", 0, "wait so long for the set to be in force on all of --proxies")
 	command.Flags().Int64Var(&expect, "expect", -1, "the generation to replace; 0 if none was published")
 	return command
 }
--- /dev/null
+++ b/internal/command/status.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pmezard/go-difflib/difflib"
+	"github.com/spf13/cobra"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	fetchLimit = 2 * time.Second
+	waitPoll   = 50 * time.Millisecond
+)
+
+// proxyStatus is what the operator edge of a proxy answers.
+type proxyStatus struct {
+	Name       string   `json:"name"`
+	Zone       string   `json:"zone"`
+	Generation uint64   `json:"generation"`
+	Hash       string   `json:"hash"`
+	Draining   bool     `json:"draining"`
+	Peers      []string `json:"peers"`
+	Instances  []struct {
+		ID      string `json:"id"`
+		Term    uint64 `json:"term"`
+		Primary string `json:"primary"`
+	} `json:"instances"`
+	Violations map[string]int `json:"violations"`
+}
+
+// fetch reads one page of a proxy's operator address.
+func fetch(ctx context.Context, address, page string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+page, http.NoBody)
+	if err != nil {
+		return err
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return ebonywood.NewFault(ebonywood.KindUnavailable, err.Error(), "check the proxy and its operatorAddress")
+	}
+	defer response.Body.Close()
+	return json.NewDecoder(response.Body).Decode(into)
+}
+
+func proxiesFlag(command *cobra.Command, addresses *[]string) {
+	command.Flags().StringSliceVar(addresses, "proxies", nil, "operator addresses of the proxies, IP number and port")
+}
+
+func newStatus() *cobra.Command {
+	var proxies, platform []string
+	command := &cobra.Command{
+		Use:   "status",
+		Short: "Show what is accepted, and what each proxy has in force",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			generation, err := openPublication(platform).Generation(command.Context())
+			if err != nil {
+				fmt.Fprintln(command.OutOrStdout(), "store:", err)
+			} else {
+				fmt.Fprintln(command.OutOrStdout(), "accepted generation:", generation)
+			}
+			return printStatus(command, proxies)
+		},
+	}
+	platformFlag(command, &platform)
+	proxiesFlag(command, &proxies)
+	return command
+}
+
+func printStatus(command *cobra.Command, proxies []string) error {
+	table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "proxy\tzone\tgeneration\tpeers\tinstance\tterm\tprimary\tviolations")
+	var last error
+	for _, address := range proxies {
+		var status proxyStatus
+		if err := fetch(command.Context(), address, "/status", &status); err != nil {
+			fmt.Fprintf(table, "%s\t\t%v\n", address, err)
+			last = err
+			continue
+		}
+		violations := 0
+		for _, count := range status.Violations {
+			violations += count
+		}
+		fmt.Fprintf(table, "%s\t%s\t%d\t%d\t\t\t\t%d\n", status.Name, status.Zone, status.Generation, len(status.Peers), violations)
+		for _, instance := range status.Instances {
+			fmt.Fprintf(table, "\t\t\t\t%s\t%d\t%s\n", instance.ID, instance.Term, instance.Primary)
+		}
+	}
+	if err := table.Flush(); err != nil {
+		return err
+	}
+	return last
+}
+
+// awaitInForce waits until every proxy has the generation and names those that
+// don't.
+func awaitInForce(command *cobra.Command, proxies []string, generation uint64, limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for {
+		var missing []string
+		for _, address := range proxies {
+			var status proxyStatus
+			if err := fetch(command.Context(), address, "/status", &status); err != nil || status.Generation < generation {
+				missing = append(missing, address)
+			}
+		}
+		if len(missing) == 0 {
+			fmt.Fprintf(command.OutOrStdout(), "generation %d is in force on %d proxies\n", generation, len(proxies))
+			return nil
+		}
+		if time.Now().After(until) || command.Context().Err() != nil {
+			return ebonywood.NewFault(ebonywood.KindUnavailable,
+				fmt.Sprintf("generation %d is accepted but not in force on %v", generation, missing),
+				"look at these proxies with 'ebonywood status'; the set needs no second publish")
+		}
+		time.Sleep(waitPoll)
+	}
+}
+
+func newDiff() *cobra.Command {
+	var platform []string
+	command := &cobra.Command{
+		Use:   "diff FILES",
+		Short: "Compare files with the accepted object set",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, paths []string) error {
+			content, err := readFiles(paths)
+			if err != nil {
+				return err
+			}
+			accepted, _, err := openPublication(platform).Head(command.Context())
+			if err != nil {
+				return err
+			}
+			var before []byte
+			name := "nothing accepted"
+			if accepted != nil {
+				before, name = accepted.Content(), fmt.Sprintf("generation %d", accepted.Generation())
+			}
+			text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
+				A: difflib.SplitLines(string(before)), B: difflib.SplitLines(string(content)),
+				FromFile: name, ToFile: "files", Context: 3,
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(command.OutOrStdout(), text)
+			return nil
+		},
+	}
+	platformFlag(command, &platform)
+	return command
+}
--- a/internal/decision/promoter/promoter.go
+++ b/internal/decision/promoter/promoter.go
@@ -61,6 +61,10 @@
 		if watch, found := promoter.watches[event.Instance()]; found {
 			return watch.hasten(now)
 		}
+	case ebonywood.RoundWanted:
+		if watch, found := promoter.watches[event.Instance()]; found {
+			return watch.hasten(now)
+		}
 	case ebonywood.WritesIdle:
 		if watch, found := promoter.watches[event.Instance()]; found {
 			return watch.writesIdle(now)
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -41,6 +41,8 @@
 	holdLimit ebonywood.Millis = 40
 	// moveRetry is the pause after a planned change that could not be made.
 	moveRetry ebonywood.Millis = 1000
+	// leastRoundGap is the least time between two rounds, whoever wants them.
+	leastRoundGap ebonywood.Millis = 5
 	// standbyFactor is how much rarer the rounds of those are that stand in.
 	standbyFactor = 10
 	// backoffLimit bounds the random part of the pause after a lost duel.
@@ -150,7 +152,8 @@
 }
 
 func (watch *watch) hasten(now ebonywood.Millis) []ebonywood.Action {
-	if watch.round.began == now {
+	if earliest := watch.round.began + leastRoundGap; now < earliest {
+		watch.nextRound = min(watch.nextRound, earliest)
 		return nil
 	}
 	return watch.beginRound(now)
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/credentials"
+	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/retry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -47,6 +49,8 @@
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
 	meters   sync.Map
+
+	credentials *credentials.Credentials
 }
 
 // New opens the port that the settings name.
@@ -57,10 +61,29 @@
 		return nil, ebonywood.NewFault(ebonywood.KindBadInput,
 			fmt.Sprintf("cannot listen for callers at %s: %v", address, err), "set callerAddress to a free port of this host")
 	}
-	return &Edge{
+	edge := &Edge{
 		port: port, listener: listener, sessions: map[uint32]*conversation{},
 		budgets: map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, nil
+	}
+	return edge, edge.secure()
+}
+
+// secure loads what callers are authenticated and encrypted by.
+func (edge *Edge) secure() error {
+	settings := edge.port.Settings()
+	if files := settings.CallerTLS(); files.Certificate() != "" {
+		own, err := identity.New(files)
+		if err != nil {
+			return err
+		}
+		edge.tls = own.Server()
+	}
+	if settings.CallersFile() == "" {
+		return nil
+	}
+	loaded, err := credentials.Read(settings.CallersFile())
+	edge.credentials = loaded
+	return err
 }
 
 // Address is where callers connect.
--- a/internal/edge/caller/classify.go
+++ b/internal/edge/caller/classify.go
@@ -43,6 +43,11 @@
 	return sql[:end], sql[end:]
 }
 
+func firstUpper(sql string) string {
+	word, _ := firstWord(skipComments(sql))
+	return strings.ToUpper(word)
+}
+
 // skipComments drops white space and comments before the first word.
 func skipComments(sql string) string {
 	for {
--- a/internal/edge/caller/conversation.go
+++ b/internal/edge/caller/conversation.go
@@ -33,6 +33,9 @@
 	token    ebonywood.Position
 	known    statements
 	output   []byte
+	// setup is what the session has set, as statements; each connection gets it
+	// before it works for the session.
+	setup string
 
 	// mutex guards what other goroutines see: the lane, for a cancel request, and
 	// whether the session is between two transactions, for a drain.
@@ -142,6 +145,9 @@
 
 // runToEnd tries the request until it is answered, refused or in doubt.
 func (each *conversation) runToEnd(ctx context.Context, request *callerRequest) *ebonywood.Fault {
+	if fault := each.refuseSessionState(request); fault != nil {
+		return fault
+	}
 	each.edge.earn(each.route)
 	for number := 0; ; number++ {
 		again, fault := each.attempt(ctx, request)
@@ -178,7 +184,7 @@
 	lane := each.lane
 	each.checkAtMostOnce(request)
 	sink := newSink(each, request, lane, inTransaction)
-	answer, err := lane.Exchange(ctx, request.forTarget(), sink)
+	answer, err := lane.Exchange(ctx, request.forTarget(each.setup), sink)
 	if err != nil {
 		each.releaseLane()
 		return each.judge(request, sink, inTransaction, ebonywood.FaultOf(err))
@@ -192,6 +198,9 @@
 		each.state.Showed(lane.Member(), each.edge.port.Clock().Now())
 	}
 	each.finish(answer, sink)
+	if request.setting != "" && !sink.failed {
+		each.keepSetting(request.setting)
+	}
 	return false, nil
 }
 
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -32,6 +32,8 @@
 	preparation ebonywood.Preparation
 	access      ebonywood.Access
 	shape       uint64
+	setting     string
+	word        string
 }
 
 // callerRequest is all that a caller sent before it waits.
@@ -40,7 +42,10 @@
 	preparations []ebonywood.Preparation
 	access       ebonywood.Access
 	shape        uint64
-	repeatable   bool
+	// word is the first word of the first statement, in capitals.
+	word string
+	// setting is the text of a statement that sets something for the session.
+	setting string
 	// inDoubt says that a primary may have run the request.
 	inDoubt bool
 	// closes tells, for each CloseComplete to come, whether it stands for the
@@ -48,8 +53,8 @@
 	closes []bool
 }
 
-func (request *callerRequest) forTarget() *ebonywood.Request {
-	return ebonywood.NewRequest(request.body, request.preparations, request.repeatable)
+func (request *callerRequest) forTarget(setup string) *ebonywood.Request {
+	return ebonywood.NewRequest(request.body, request.preparations, setup, request.setting != "")
 }
 
 // readRequest collects messages up to a Query or Sync. It returns nil when the
@@ -91,6 +96,10 @@
 	text := string(message[frame.HeaderSize : len(message)-1])
 	request.access = accessOf(text)
 	request.shape = shapeOf(text)
+	request.word = firstUpper(text)
+	if isSetting(text) {
+		request.setting, request.access = text, ebonywood.AccessRead
+	}
 }
 
 // add takes one message of the extended protocol.
@@ -138,7 +147,10 @@
 	}
 	known := prepared{
 		preparation: ebonywood.NewPreparation(parse.Name, encoded),
-		access:      accessOf(parse.Query), shape: shapeOf(parse.Query),
+		access:      accessOf(parse.Query), shape: shapeOf(parse.Query), word: firstUpper(parse.Query),
+	}
+	if isSetting(parse.Query) {
+		known.setting, known.access = parse.Query, ebonywood.AccessRead
 	}
 	each.known.byName[name] = known
 	request.use(known)
@@ -152,6 +164,12 @@
 		request.access = ebonywood.AccessWrite
 	}
 	request.shape = request.shape*31 + known.shape
+	if request.word == "" {
+		request.word = known.word
+	}
+	if known.setting != "" {
+		request.setting = known.setting
+	}
 }
 
 // addPlaceholder sends the Close of a name that doesn't exist, which a target
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -36,6 +36,7 @@
 	held    bool
 	relayed bool
 	refused bool
+	failed  bool
 	message string
 }
 
@@ -59,6 +60,7 @@
 	case frame.CommandComplete:
 		sink.held = sink.lane.IsPrimary()
 	case frame.ErrorResponse:
+		sink.failed = true
 		if !sink.relayed && sink.mayMove() && sink.isRefusal(message) {
 			sink.refused = true
 			sink.session.output = sink.session.output[:sink.start]
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -92,11 +92,15 @@
 		each.refuse(ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "connect with a PostgreSQL v3 client"))
 		return false
 	}
+	each.frames = frame.NewReader(each.socket)
+	if err := each.authenticate(message.Parameters["user"]); err != nil {
+		each.refuse(err)
+		return false
+	}
 	if err := each.open(message.Parameters); err != nil {
 		each.refuse(err)
 		return false
 	}
-	each.frames = frame.NewReader(each.socket)
 	secret := binary.BigEndian.AppendUint32(nil, each.secret)
 	each.write(
 		&pgproto3.AuthenticationOk{},
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -50,6 +50,11 @@
 	Scrape() http.Handler
 }
 
+// counter is a port that tells of broken invariants.
+type counter interface {
+	Violations() map[string]int
+}
+
 // Run serves until ctx ends.
 func (edge *Edge) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -101,6 +106,7 @@
 	Draining   bool             `json:"draining"`
 	Peers      []string         `json:"peers"`
 	Instances  []instanceReport `json:"instances"`
+	Violations map[string]int   `json:"violations"`
 }
 
 type instanceReport struct {
@@ -127,6 +133,9 @@
 			}
 		}
 	}
+	if counted, offers := edge.port.(counter); offers {
+		answer.Violations = counted.Violations()
+	}
 	writer.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(writer).Encode(answer)
 }
--- a/internal/edge/peer/lanes.go
+++ b/internal/edge/peer/lanes.go
@@ -130,7 +130,7 @@
 // encode makes the message of a request; the first one carries the need.
 func (lane *remoteLane) encode(ctx context.Context, request *ebonywood.Request) *laneMessage {
 	message := &laneMessage{
-		Version: protocolVersion, Body: request.Body(), Repeatable: request.IsRepeatable(),
+		Version: protocolVersion, Body: request.Body(), Setup: request.Setup(), Taints: request.Taints(),
 		Deadline: int64(lane.need.Deadline()),
 	}
 	if until, bounded := ctx.Deadline(); bounded {
--- a/internal/edge/peer/serve.go
+++ b/internal/edge/peer/serve.go
@@ -110,7 +110,7 @@
 		preparations = append(preparations, ebonywood.NewPreparation(each.Name, each.Parse))
 	}
 	sink := &forwardSink{stream: stream, reply: laneReply{Member: string(lane.Member()), Primary: lane.IsPrimary()}}
-	answer, err := lane.Exchange(ctx, ebonywood.NewRequest(message.Body, preparations, message.Repeatable), sink)
+	answer, err := lane.Exchange(ctx, ebonywood.NewRequest(message.Body, preparations, message.Setup, message.Taints), sink)
 	sink.reply.Done = true
 	if err != nil {
 		sink.reply.Fault = encodeFault(err)
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -120,10 +120,11 @@
 	Need         *needMessage         `cbor:"2,keyasint,omitempty"`
 	Body         []byte               `cbor:"3,keyasint,omitempty"`
 	Preparations []preparationMessage `cbor:"4,keyasint,omitempty"`
-	Repeatable   bool                 `cbor:"5,keyasint,omitempty"`
+	Setup        string               `cbor:"5,keyasint,omitempty"`
 	Deadline     int64                `cbor:"6,keyasint"`
 	More         []byte               `cbor:"7,keyasint,omitempty"`
 	Failed       bool                 `cbor:"8,keyasint,omitempty"`
+	Taints       bool                 `cbor:"9,keyasint,omitempty"`
 }
 
 type preparationMessage struct {
--- a/internal/edge/target/lane.go
+++ b/internal/edge/target/lane.go
@@ -15,6 +15,8 @@
 const (
 	// cancelLimit bounds the sending of a cancel request.
 	cancelLimit = time.Second
+	// resetText takes away all that sessions can set.
+	resetText = "RESET ALL;"
 	// preparedLimit bounds the statements that one connection holds.
 	preparedLimit = 512
 )
@@ -123,6 +125,10 @@
 func (lane *lane) run(
 	ctx context.Context, request *ebonywood.Request, sink ebonywood.Sink,
 ) (ebonywood.TxState, error) {
+	if err := lane.setUp(ctx, request.Setup()); err != nil {
+		return 0, lane.notRun(err)
+	}
+	lane.stale = lane.stale || request.Taints()
 	message, injected := lane.withPreparations(request)
 	sent, err := lane.conn.Write(message)
 	if err != nil && sent == 0 {
@@ -158,6 +164,19 @@
 	}
 }
 
+// setUp gives the connection what the session has set, and takes away what an
+// earlier session had.
+func (lane *lane) setUp(ctx context.Context, setup string) error {
+	if lane.conn.setup == setup {
+		return nil
+	}
+	if _, err := lane.conn.Query(ctx, resetText+setup); err != nil {
+		return err
+	}
+	lane.conn.setup = setup
+	return nil
+}
+
 // withPreparations puts the statements that the connection does not know yet
 // before the request.
 func (lane *lane) withPreparations(request *ebonywood.Request) (message []byte, injected int) {
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,6 +42,14 @@
 	// costMutex is held for a moment at each statement, apart from the mutex above.
 	costMutex sync.Mutex
 	costs     cost.Table
+
+	byReplica atomic.Int64
+	byPrimary atomic.Int64
+}
+
+// Reads counts the reads that went to replicas and to primaries.
+func (edge *Edge) Reads() (byReplica, byPrimary int64) {
+	return edge.byReplica.Load(), edge.byPrimary.Load()
 }
 
 // New makes the edge. The holder name under which it fences is new in each
@@ -195,12 +204,13 @@
 		ctx = limited
 	}
 	var last error
+	began := time.Now()
 	for {
 		route, view, err := edge.await(ctx, need)
 		if err != nil {
 			return nil, timedOut(need, errors.CombineErrors(last, err))
 		}
-		lane, err := edge.try(ctx, need, route, view)
+		lane, err := edge.try(ctx, need, route, view, began)
 		if lane != nil {
 			return lane, nil
 		}
@@ -248,7 +258,7 @@
 // try makes one attempt; a nil lane means that the view has to change first or
 // that the attempt failed.
 func (edge *Edge) try(
-	ctx context.Context, need ebonywood.Need, route *ebonywood.Route, view *ebonywood.InstanceView,
+	ctx context.Context, need ebonywood.Need, route *ebonywood.Route, view *ebonywood.InstanceView, began time.Time,
 ) (ebonywood.Lane, error) {
 	if need.Access() == ebonywood.AccessWrite {
 		return edge.tryPrimary(ctx, need, route, view)
@@ -269,10 +279,32 @@
 		})
 		return nil, err
 	default:
+		if route.Policy().MaxAge() > 0 && edge.waitForReplica(ctx, view, began) {
+			return nil, nil
+		}
 		return edge.tryPrimary(ctx, need, route, view)
 	}
 }
 
+// replicaWait is how long a read waits for a replica to be proved fresh enough
+// before it costs a slot of the primary, which are kept for writes.
+const replicaWait = 8 * time.Millisecond
+
+// waitForReplica asks for a round at once and waits for another view. It reports
+// false when the request has waited for long enough.
+func (edge *Edge) waitForReplica(ctx context.Context, view *ebonywood.InstanceView, began time.Time) bool {
+	left := replicaWait - time.Since(began)
+	if left <= 0 || view.Primary() == "" {
+		return false
+	}
+	if edge.port.Post(ctx, ebonywood.NewRoundWanted(view.ID())) != nil {
+		return false
+	}
+	waiting, cancel := context.WithTimeout(ctx, left)
+	defer cancel()
+	return edge.awaitChange(waiting, view) == nil
+}
+
 func (edge *Edge) tryReplica(
 	ctx context.Context, need ebonywood.Need, route *ebonywood.Route, view *ebonywood.InstanceView,
 	pool *pool,
@@ -285,6 +317,7 @@
 		lane.Release()
 		return nil, edge.awaitChange(ctx, view)
 	}
+	edge.byReplica.Add(1)
 	return lane, nil
 }
 
@@ -360,6 +393,9 @@
 		return nil, err
 	}
 	lane.gate = gate
+	if need.Access() == ebonywood.AccessRead {
+		edge.byPrimary.Add(1)
+	}
 	return lane, nil
 }
 
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -246,6 +246,19 @@
 // Invariants checks what must always hold.
 func (kernel *Kernel) Invariants() ebonywood.Invariants { return &kernel.checker }
 
+// Reads counts the reads that the target edge sent to replicas and to primaries.
+func (kernel *Kernel) Reads() (byReplica, byPrimary int64) {
+	for _, edge := range kernel.edges {
+		if counted, counts := edge.(interface{ Reads() (int64, int64) }); counts {
+			return counted.Reads()
+		}
+	}
+	return 0, 0
+}
+
+// Violations counts the invariants that were broken, by name.
+func (kernel *Kernel) Violations() map[string]int { return kernel.checker.Broken() }
+
 // reportBroken counts and logs a violation. EBONYWOOD_STRICT makes it end the
 // process, for tests and soak runs.
 func (kernel *Kernel) reportBroken(name, detail string) {
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -7,6 +7,7 @@
 	"context"
 	"sync"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 )
 
@@ -61,7 +62,7 @@
 func (group *Group) Wait() error {
 	group.wait.Wait()
 	cause := context.Cause(group.Context())
-	if cause == context.Canceled || group.parent.Err() != nil {
+	if errors.Is(cause, context.Canceled) || group.parent.Err() != nil {
 		return nil
 	}
 	return cause
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -328,6 +328,20 @@
 	_ = site.group.Wait()
 }
 
+// Reads is the share of all statements that replicas ran, writes left out.
+func (site *Site) Reads() float64 {
+	replicas, all := int64(0), int64(0)
+	for _, proxy := range site.proxies {
+		byReplica, byPrimary := proxy.Reads()
+		replicas += byReplica
+		all += byReplica + byPrimary
+	}
+	if all == 0 {
+		return 0
+	}
+	return float64(replicas) / float64(all)
+}
+
 // InForce reports whether the first so many proxies have the set published last.
 func (site *Site) InForce(proxies int) bool {
 	for _, proxy := range site.proxies[:proxies] {
--- a/lane.go
+++ b/lane.go
@@ -96,12 +96,15 @@
 type Request struct {
 	body         []byte
 	preparations []Preparation
-	repeatable   bool
+	setup        string
+	taints       bool
 }
 
-// NewRequest makes a request. repeatable promises that it may be run twice.
-func NewRequest(body []byte, preparations []Preparation, repeatable bool) *Request {
-	return &Request{body: body, preparations: preparations, repeatable: repeatable}
+// NewRequest makes a request. setup is what the session has set so far, which the
+// connection must have before the request runs. taints says that the request
+// changes such settings, so the connection must not be used again.
+func NewRequest(body []byte, preparations []Preparation, setup string, taints bool) *Request {
+	return &Request{body: body, preparations: preparations, setup: setup, taints: taints}
 }
 
 // Body is the encoded messages.
@@ -110,8 +113,11 @@
 // Preparations are the statements that the target has to know first.
 func (request *Request) Preparations() []Preparation { return request.preparations }
 
-// IsRepeatable reports whether it may be run twice.
-func (request *Request) IsRepeatable() bool { return request.repeatable }
+// Setup is what the session has set so far, as statements.
+func (request *Request) Setup() string { return request.setup }
+
+// Taints reports whether it changes what the session has set.
+func (request *Request) Taints() bool { return request.taints }
 
 // TxState is the state of a connection between two requests.
 type TxState byte
--- a/message.go
+++ b/message.go
@@ -147,6 +147,20 @@
 
 func (Trouble) isEvent() {}
 
+// RoundWanted tells that a read waits for a fresher proof. It hastens the next
+// status round.
+type RoundWanted struct {
+	instance InstanceID
+}
+
+// NewRoundWanted makes the event.
+func NewRoundWanted(instance InstanceID) RoundWanted { return RoundWanted{instance: instance} }
+
+// Instance is where the read waits.
+func (event RoundWanted) Instance() InstanceID { return event.instance }
+
+func (RoundWanted) isEvent() {}
+
 // DrainAsked tells that this process was asked to stop.
 type DrainAsked struct{}
 
