Prove publishing, drain, moves, settings, cancel and the connection cap on live sites

Each test failed first or found a fault: a proxy whose only seed was gone never joined (all known peers are seeds now), and the stand-in forgot settings.

--- /dev/null
+++ b/internal/objectfile/objectfile_test.go
@@ -0,0 +1,75 @@
+package objectfile
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const good = `kind: databaseGroup
+name: mend-db
+instances:
+- name: a
+  members:
+  - {name: m0, zone: fukuoka, address: "10.0.0.1:5432"}
+  - {name: m1, zone: kumamoto, address: "10.0.0.2:5432"}
+  - {name: m2, zone: kagoshima, address: "10.0.0.3:5432"}
+---
+kind: readPolicy
+name: catalogue
+maxAge: 2s
+---
+kind: route
+name: shop
+database: mend
+group: mend-db
+readPolicy: catalogue
+deadline: 2s
+objective: {share: 0.99, latency: 500ms}
+`
+
+func parse(text string) (*ebonywood.ObjectSet, error) {
+	return Parse(7, Join([]string{"set.yaml"}, [][]byte{[]byte(text)}))
+}
+
+func TestParseWholeSet(t *testing.T) {
+	set, err := parse(good)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), set.Generation())
+	route, found := set.Route("anybody", "mend")
+	require.True(t, found)
+	require.Equal(t, ebonywood.Millis(2000), route.Policy().MaxAge())
+	require.Equal(t, []ebonywood.InstanceID{"mend-db/a"}, route.Instances())
+}
+
+// TestFaults checks that each fault names its line, its object and its remedy.
+func TestFaults(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"unknown field", "maxAge: 2s", "maxAge: 2s\nmaxLag: 1s", "set.yaml:13: readPolicy/catalogue: maxLag is an unknown field"},
+		{"span without unit", "maxAge: 2s", "maxAge: 2", `set.yaml:12: readPolicy/catalogue: maxAge "2" is not a span`},
+		{"missing group", "group: mend-db", "group: mend", `set.yaml:17: route/shop: group "mend" is not in the set`},
+		{"missing policy", "readPolicy: catalogue", "readPolicy: fresh", `readPolicy "fresh" is not in the set; publish the readPolicy`},
+		{"host name", "10.0.0.2:5432", "db2:5432", `mend-db/a/m1: address "db2:5432" is not an IP number`},
+		{"address twice", "10.0.0.2:5432", "10.0.0.1:5432", "address is taken by databaseGroup/mend-db/a/m0"},
+		{"two members", "  - {name: m2, zone: kagoshima, address: \"10.0.0.3:5432\"}\n", "", "members has 2 entries; list an odd number"},
+		{"objective beyond deadline", "latency: 500ms", "latency: 5s", "objective.latency is beyond the route's deadline"},
+		{"unknown kind", "kind: readPolicy", "kind: policy", `kind "policy" is unknown; use databaseGroup`},
+		{"share of 1", "share: 0.99", "share: 1", `share "1" is not a share between 0 and 1`},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			_, err := parse(strings.Replace(good, each.old, each.new, 1))
+			require.ErrorContains(t, err, each.want)
+			require.Equal(t, ebonywood.KindBadInput, ebonywood.FaultOf(err).Kind())
+		})
+	}
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	text := strings.NewReplacer("maxAge: 2s", "maxAge: 2", "group: mend-db", "group: x", "0.99", "7").Replace(good)
+	_, err := parse(text)
+	require.Len(t, strings.Split(ebonywood.FaultOf(err).Message(), "\n"), 3)
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -49,7 +50,7 @@
 	proxies   []*kernel.Kernel
 	stops     []*rungroup.Group
 	settings  []settingsfile.Settings
-	seed      string
+	seeds     []string
 	extra     string
 	published uint64
 }
@@ -188,11 +189,9 @@
 		}
 		addresses[i] = address
 	}
-	if site.seed == "" {
-		site.seed = addresses[1]
-	}
-	text := fmt.Sprintf("name: p%d\nzone: z%d\ncallerAddress: %q\npeerAddress: %q\nseeds: [%q]\nplatform: {addresses: [%q]}\n%s",
-		number, number%zoneCount+1, addresses[0], addresses[1], site.seed, site.platform.Address(), site.extra)
+	site.seeds = append(site.seeds, addresses[1])
+	text := fmt.Sprintf("name: p%d\nzone: z%d\ncallerAddress: %q\npeerAddress: %q\nseeds: [%s]\nplatform: {addresses: [%q]}\n%s",
+		number, number%zoneCount+1, addresses[0], addresses[1], strings.Join(quoted(site.seeds), ", "), site.platform.Address(), site.extra)
 	settings, err := settingsfile.Parse("site", []byte(text))
 	if err != nil {
 		return err
@@ -213,6 +212,14 @@
 	return nil
 }
 
+func quoted(texts []string) []string {
+	made := make([]string, 0, len(texts))
+	for _, text := range texts {
+		made = append(made, strconv.Quote(text))
+	}
+	return made
+}
+
 // AwaitReady waits until each proxy knows the set, its peers and, where it owns
 // the instance, the primary with a proof.
 func (site *Site) AwaitReady() error {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonywood/ebonywood/internal/standin/targetserver"
@@ -79,3 +81,100 @@
 		require.ElementsMatch(t, []string{"v", "w"}, site.Member(site.Primary()).Values(fmt.Sprint("drain", proxy)))
 	}
 }
+
+// TestSetNeverReverts restores an old copy of the store, and restarts a proxy
+// while the store is down: every proxy stays at the newest set.
+func TestSetNeverReverts(t *testing.T) {
+	site := start(t, 3)
+	old := site.Platform().Dump()
+	require.NoError(t, site.Publish("m2"))
+	require.NoError(t, site.AwaitReady())
+	site.Platform().Restore(old)
+	time.Sleep(100 * time.Millisecond)
+	require.True(t, site.InForce(3))
+	site.Platform().SetDown(true)
+	require.NoError(t, site.StopProxy(0))
+	require.NoError(t, site.StartProxy())
+	require.Eventually(t, func() bool {
+		set := site.Proxy(3).Snapshot().Set()
+		return set != nil && set.Generation() == 2
+	}, 10*time.Second, 5*time.Millisecond)
+}
+
+// TestSessionSettingsStayWithTheirSession shares one connection's worth of slots
+// between sessions that set different things.
+func TestSessionSettingsStayWithTheirSession(t *testing.T) {
+	site := start(t, 1)
+	ctx := context.Background()
+	first, second := site.connect(t, 0), site.connect(t, 0)
+	simple := pgx.QueryExecModeSimpleProtocol
+	_, err := first.Exec(ctx, "SET work = 'mine'", simple)
+	require.NoError(t, err)
+	for range 10 {
+		var got string
+		require.NoError(t, first.QueryRow(ctx, "SHOW work", simple).Scan(&got))
+		require.Equal(t, "mine", got)
+		require.NoError(t, second.QueryRow(ctx, "SHOW work", simple).Scan(&got))
+		require.Empty(t, got)
+	}
+	_, err = first.Exec(ctx, "LISTEN news", simple)
+	require.ErrorContains(t, err, "needs a connection of its own")
+}
+
+// TestCancelHitsOnlyItsOwnRequest cancels a long statement while another session
+// runs one of its own.
+func TestCancelHitsOnlyItsOwnRequest(t *testing.T) {
+	site := start(t, 2)
+	victim, bystander := site.connect(t, 0), site.connect(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := bystander.Exec(context.Background(), "select pg_sleep(0.5)")
+		done <- err
+	}()
+	time.AfterFunc(100*time.Millisecond, cancel)
+	began := time.Now()
+	_, err := victim.Exec(ctx, "select pg_sleep(30)")
+	require.Error(t, err)
+	require.Less(t, time.Since(began), 10*time.Second)
+	require.NoError(t, <-done)
+}
+
+// TestCopyAndLargeResults streams both ways.
+func TestCopyAndLargeResults(t *testing.T) {
+	site := start(t, 2)
+	for proxy := range 2 {
+		conn := site.connect(t, proxy)
+		lines := strings.NewReader(strings.Repeat(fmt.Sprintf("copy%d\tv\n", proxy), 5000))
+		tag, err := conn.PgConn().CopyFrom(context.Background(), lines, "copy orders from stdin")
+		require.NoError(t, err)
+		require.Equal(t, int64(5000), tag.RowsAffected())
+		rows, err := conn.Query(context.Background(), "select generate_series(1, 200000)")
+		require.NoError(t, err)
+		values, err := pgx.CollectRows(rows, pgx.RowTo[string])
+		require.NoError(t, err)
+		require.Len(t, values, 200_000)
+	}
+}
+
+// TestConnectionCapIsNeverPassed lets far more callers work at once than the
+// member accepts connections.
+func TestConnectionCapIsNeverPassed(t *testing.T) {
+	site := start(t, 3)
+	var group sync.WaitGroup
+	for caller := range 60 {
+		conn := site.connect(t, caller%3)
+		group.Go(func() {
+			for range 5 {
+				_, err := conn.Exec(context.Background(), "insert into orders (k, v) values ('cap', 'v')")
+				assert.NoError(t, err)
+			}
+		})
+	}
+	group.Wait()
+	for member := range 3 {
+		crest, refused := site.Member(member).Crest()
+		require.LessOrEqual(t, crest, 20)
+		require.Zero(t, refused)
+	}
+}
--- a/internal/standin/targetserver/perform.go
+++ b/internal/standin/targetserver/perform.go
@@ -30,7 +30,7 @@
 	}
 	defer func() { <-each.server.slot }()
 	switch parsed.verb {
-	case verbBegin, verbCommit, verbRollback, verbSession, verbShow:
+	case verbBegin, verbCommit, verbRollback, verbSession, verbShow, verbSet, verbReset:
 		return each.performSession(parsed)
 	case verbInsert:
 		return each.insert(parsed)
@@ -71,6 +71,10 @@
 	case verbRollback:
 		each.status = statusIdle
 		each.pending = nil
+	case verbSet:
+		each.settings[strings.ToLower(parsed.args[0])] = parsed.args[1]
+	case verbReset:
+		clear(each.settings)
 	case verbShow:
 		each.row(each.settings[strings.ToLower(parsed.args[0])])
 	}
--- a/internal/standin/targetserver/statement.go
+++ b/internal/standin/targetserver/statement.go
@@ -31,6 +31,8 @@
 	verbCopyOut
 	verbCopyIn
 	verbShow
+	verbSet
+	verbReset
 )
 
 // statement is one parsed statement. Arguments of the form $n are filled in by
@@ -71,6 +73,8 @@
 	newRule(verbCopyOut, `copy\s+orders\s+to\s+stdout`),
 	newRule(verbCopyIn, `copy\s+orders\s+from\s+stdin`),
 	newRule(verbShow, `show\s+(\w+)`),
+	newRule(verbSet, `set\s+(?:session\s+)?(\w+)\s*(?:=|\bto\b)\s*ARG`),
+	newRule(verbReset, `(?:reset\s+all|discard\s+all)`),
 	newRule(verbSession, `(?:set|reset|discard|deallocate)\b.*`),
 }
 
--- a/test/fuzz/fuzz_test.go
+++ b/test/fuzz/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -54,8 +55,12 @@
 	return random.IntN
 }
 
-// TestStatefulFuzz searches with rapid, which shrinks what it finds.
+// TestStatefulFuzz searches with rapid, which shrinks what it finds. The seed is
+// fixed unless one is given, so that a run of CI says the same each time.
 func TestStatefulFuzz(t *testing.T) {
+	if given := flag.Lookup("rapid.seed"); given.Value.String() == "0" {
+		require.NoError(t, given.Value.Set("1"))
+	}
 	rapid.Check(t, func(t *rapid.T) {
 		choose := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
 		seed := rapid.Uint64().Draw(t, "seed")
@@ -124,3 +129,36 @@
 		})
 	}
 }
+
+// TestNaiveBaseline counts what a proxy breaks that repeats on error, fences
+// nobody, confirms nothing and assumes that replicas are fresh, under the same
+// failures as ours. It is a measurement; it fails only if nothing went wrong.
+func TestNaiveBaseline(t *testing.T) {
+	const seeds, steps = 4, 20_000
+	for _, mutation := range []string{"", "naive"} {
+		counts := map[string]int{}
+		acks, reads := 0, 0
+		for seed := range uint64(seeds) {
+			world := newWorld(seeded(seed+1), mutation)
+			world.oracle.fail = func(format string, _ ...any) {
+				kind, _, _ := strings.Cut(format, ":")
+				counts[kind]++
+			}
+			for range steps {
+				world.step()
+			}
+			world.healAll()
+			world.checkFinal()
+			acks += world.oracle.acks
+			reads += world.oracle.reads
+		}
+		name := "ours"
+		if mutation != "" {
+			name = mutation
+			require.NotEmpty(t, counts)
+		} else {
+			require.Empty(t, counts)
+		}
+		t.Logf("%s: %d writes acknowledged, %d reads, violations %v", name, acks, reads, counts)
+	}
+}
--- a/test/fuzz/world_test.go
+++ b/test/fuzz/world_test.go
@@ -93,6 +93,12 @@
 	return world
 }
 
+// lacks reports whether the run is without a mechanism; the naive baseline is
+// without several.
+func (world *world) lacks(mechanism string) bool {
+	return world.mutation == mechanism || world.mutation == "naive"
+}
+
 func must(err error) {
 	if err != nil {
 		panic(err)
