--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/credentials"
 	"github.com/ebonywood/ebonywood/internal/identity"
+	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/retry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -105,6 +106,9 @@
 		return err
 	}
 	edge.drain()
+	left := edge.count()
+	limited := edge.port.Settings().DrainLimit() > 0
+	edge.port.Invariants().Check(invariant.NothingCutOff, left == 0 || limited, fmt.Sprintf("%d sessions", left))
 	group.Stop()
 	edge.closeAll()
 	return group.Wait()
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/ebonywood/ebonywood"
@@ -75,8 +76,7 @@
 		case frame.Terminate:
 			return nil, nil
 		case frame.Query:
-			request.addQuery(message)
-			return request, nil
+			return request, request.addQuery(message)
 		case frame.Sync:
 			request.body = append(request.body, message...)
 			return request, nil
@@ -91,15 +91,20 @@
 	}
 }
 
-func (request *callerRequest) addQuery(message []byte) {
+func (request *callerRequest) addQuery(message []byte) error {
+	body := frame.Body(message)
+	if len(body) == 0 || body[len(body)-1] != 0 {
+		return malformed(errors.New("a query without its closing zero byte"))
+	}
 	request.body = append(request.body, message...)
-	text := string(message[frame.HeaderSize : len(message)-1])
+	text := string(body[:len(body)-1])
 	request.access = accessOf(text)
 	request.shape = shapeOf(text)
 	request.word = firstUpper(text)
 	if isSetting(text) {
 		request.setting, request.access = text, ebonywood.AccessRead
 	}
+	return nil
 }
 
 // add takes one message of the extended protocol.
--- a/internal/edge/target/lane.go
+++ b/internal/edge/target/lane.go
@@ -10,6 +10,7 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/frame"
+	"github.com/ebonywood/ebonywood/internal/invariant"
 )
 
 const (
@@ -32,7 +33,9 @@
 	ticket  uint64
 	entered time.Time
 	state   ebonywood.TxState
-	broken  bool
+	// sent is how many bytes of the request left.
+	sent   int
+	broken bool
 	// stale says that the connection's prepared statements are in doubt.
 	stale bool
 
@@ -82,12 +85,16 @@
 		defer ended()
 		ctx = during
 	}
+	lane.pool.check(invariant.OneTransaction, lane.conn.lane == lane)
+	lane.pool.check(invariant.WholeAnswer, lane.conn.Buffered() == 0)
 	release := lane.conn.Bound(ctx)
 	state, err := lane.run(ctx, request, sink)
 	release()
 	lane.freeSlot()
 	if err != nil {
 		lane.broken = true
+		notRun := ebonywood.FaultOf(err).Kind() == ebonywood.KindNotRun
+		lane.pool.check(invariant.TrulyNotRun, !notRun || lane.sent == 0)
 		return ebonywood.Answer{}, err
 	}
 	lane.state = state
@@ -108,6 +115,7 @@
 		lane.broken = true
 		return ebonywood.Answer{}, err
 	}
+	lane.pool.check(invariant.NoReplacedAck, at.Term() == lane.conn.term)
 	return ebonywood.NewAnswer(state, at), nil
 }
 
@@ -125,12 +133,14 @@
 func (lane *lane) run(
 	ctx context.Context, request *ebonywood.Request, sink ebonywood.Sink,
 ) (ebonywood.TxState, error) {
+	lane.sent = 0
 	if err := lane.setUp(ctx, request.Setup()); err != nil {
 		return 0, lane.notRun(err)
 	}
 	lane.stale = lane.stale || request.Taints()
 	message, injected := lane.withPreparations(request)
 	sent, err := lane.conn.Write(message)
+	lane.sent = sent
 	if err != nil && sent == 0 {
 		return 0, lane.notRun(err)
 	}
--- a/internal/edge/target/pool.go
+++ b/internal/edge/target/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/pgconn"
 	"github.com/ebonywood/ebonywood/internal/queue"
 )
@@ -21,6 +22,8 @@
 	probeLimit = 100 * time.Millisecond
 	// failedPause is how long a member gets no reads after a failed connection.
 	failedPause = 200 * time.Millisecond
+	// leavingLimit is how long a leaving member may get new work.
+	leavingLimit = 3 * time.Second
 	// reserved connections of a member are left to its operators.
 	reserved = 2
 )
@@ -35,6 +38,8 @@
 	lastUse  time.Time
 	prepared map[string]struct{}
 	setup    string
+	// lane is whom the connection is leased to.
+	lane *lane
 }
 
 // pool shares the slots and connections of one member among the callers of this
@@ -57,6 +62,8 @@
 	fault error
 	// failed is when the last attempt to open a connection failed.
 	failed time.Time
+	// leavingSince is when reads first met the member as leaving.
+	leavingSince time.Time
 }
 
 func newPool(edge *Edge, member ebonywood.Member) *pool {
@@ -119,9 +126,30 @@
 		return nil, err
 	}
 	lane.conn = conn
+	pool.check(invariant.OneTransaction, conn.lane == nil)
+	conn.lane = lane
 	return lane, nil
 }
 
+func (pool *pool) check(name string, holds bool) {
+	pool.edge.port.Invariants().Check(name, holds, string(pool.member.ID()))
+}
+
+// isLeavingLong reports whether the member has been known to leave for longer
+// than new work may still come to it.
+func (pool *pool) isLeavingLong(leaving bool) bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if !leaving {
+		pool.leavingSince = time.Time{}
+		return false
+	}
+	if pool.leavingSince.IsZero() {
+		pool.leavingSince = time.Now()
+	}
+	return time.Since(pool.leavingSince) > leavingLimit
+}
+
 // enter waits for a slot. It refuses at once when the predicted wait passes the
 // deadline.
 func (pool *pool) enter(ctx context.Context, need ebonywood.Need, route *ebonywood.Route) (uint64, error) {
@@ -342,6 +370,7 @@
 		return
 	}
 	each.lastUse = time.Now()
+	each.lane = nil
 	pool.idle = append(pool.idle, each)
 	pool.wake()
 }
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -15,6 +15,7 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/cost"
+	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/router"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -318,9 +319,25 @@
 		return nil, edge.awaitChange(ctx, view)
 	}
 	edge.byReplica.Add(1)
+	edge.checkRead(need, lane)
 	return lane, nil
 }
 
+// checkRead asserts once more what the router promised, from what is known by now.
+func (edge *Edge) checkRead(need ebonywood.Need, lane *lane) {
+	view, found := edge.port.Snapshot().View(need.Instance())
+	if !found {
+		return
+	}
+	member, found := view.Member(lane.Member())
+	if !found {
+		return
+	}
+	covers := lane.conn.applied.Covers(need.Floor().At()) || member.Applied().Covers(need.Floor().At())
+	lane.pool.check(invariant.ReadYourWrites, covers)
+	lane.pool.check(invariant.NoWorkLeaving, !lane.pool.isLeavingLong(member.Member().IsLeaving()))
+}
+
 // stillAllowed decides again once the connection is there.
 func (edge *Edge) stillAllowed(need ebonywood.Need, route *ebonywood.Route, lane *lane) bool {
 	view, found := edge.port.Snapshot().View(need.Instance())
--- a/internal/pgconn/pgconn.go
+++ b/internal/pgconn/pgconn.go
@@ -68,6 +68,9 @@
 // Next returns the next encoded message, valid until the next call.
 func (conn *Conn) Next() ([]byte, error) { return conn.frames.Next() }
 
+// Buffered is how many received bytes wait to be read; none between requests.
+func (conn *Conn) Buffered() int { return conn.frames.Buffered() }
+
 // Query runs one simple query and returns its rows as text. A refusal by the
 // server is a fault of KindConflict; after any other error the outcome is open
 // and the connection must be closed.
--- /dev/null
+++ b/internal/rendezvous/rendezvous_test.go
@@ -0,0 +1,56 @@
+package rendezvous
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestOrderDoesNotDependOnHistory joins and leaves in any order: the table is the
+// same as one that is made anew from the names that are left.
+func TestOrderDoesNotDependOnHistory(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g"}
+	keys := []string{"x", "y", "z"}
+	rapid.Check(t, func(t *rapid.T) {
+		table := New(3)
+		table.SetKeys(keys)
+		live := map[string]bool{}
+		for _, name := range rapid.SliceOfN(rapid.SampledFrom(names), 1, 30).Draw(t, "names") {
+			if live[name] = !live[name]; live[name] {
+				table.Join(name)
+			} else {
+				table.Leave(name)
+			}
+		}
+		fresh := New(3)
+		for _, name := range names {
+			if live[name] {
+				fresh.Join(name)
+			}
+		}
+		fresh.SetKeys(keys)
+		for _, key := range keys {
+			require.Equal(t, fresh.Top(key), table.Top(key))
+		}
+	})
+}
+
+func TestLossMovesOnlyWhatWasHeld(t *testing.T) {
+	table := New(1)
+	keys := []string{"k1", "k2", "k3", "k4", "k5", "k6", "k7", "k8"}
+	table.SetKeys(keys)
+	for _, name := range []string{"a", "b", "c"} {
+		table.Join(name)
+	}
+	before := map[string]string{}
+	for _, key := range keys {
+		before[key] = table.Top(key)[0]
+	}
+	table.Leave("b")
+	for _, key := range keys {
+		if before[key] != "b" {
+			require.Equal(t, before[key], table.Top(key)[0])
+		}
+	}
+}
