Apply a burst of membership changes as one

Cause: each update that a joining proxy hears renewed the whole table of owners; 7,400 of them would hold the control thread for over a minute (worked out from 2 ms a join and 28 ms a change).

Change: an event's changes are applied together, and more than 256 make a new table.

--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -54,6 +54,8 @@
 	// leastExchange and exchangeShare space the exchanges of all beliefs.
 	leastExchange = 32
 	exchangeShare = 4
+	// bulkChanges is how many changes at once make a new table of owners.
+	bulkChanges = 256
 	// watcherKey orders the proxies for watching.
 	watcherKey = "platform"
 	// forgetAfter is when a dead proxy is forgotten.
@@ -78,16 +80,18 @@
 	random    *rand.Rand
 	beliefs   map[string]*belief
 	// doubtful are the suspects and the dead, which time alone moves on.
-	doubtful   map[string]struct{}
-	addresses  map[string]bool
-	ring       []string
-	nextProbe  ebonywood.Millis
-	lastTick   ebonywood.Millis
-	probes     map[uint64]*probe
-	number     uint64
-	sent       uint64
-	news       []*item
-	table      *rendezvous.Table
+	doubtful  map[string]struct{}
+	addresses map[string]bool
+	ring      []string
+	nextProbe ebonywood.Millis
+	lastTick  ebonywood.Millis
+	probes    map[uint64]*probe
+	number    uint64
+	sent      uint64
+	news      []*item
+	table     *rendezvous.Table
+	// changes are the proxies that came (true) or went in the event at hand.
+	changes    map[string]bool
 	set        *ebonywood.ObjectSet
 	generation uint64
 	owners     *ebonywood.Owners
@@ -122,6 +126,7 @@
 		self:    ebonywood.NewPeerView(settings.Name(), settings.Zone(), settings.PeerAddress()),
 		seeds:   settings.Seeds(),
 		random:  rand.New(rand.NewPCG(seed, seed)),
+		changes: map[string]bool{},
 		beliefs: map[string]*belief{}, doubtful: map[string]struct{}{},
 		probes: map[uint64]*probe{},
 		table:  rendezvous.New(ebonywood.OwnerCount),
@@ -151,6 +156,7 @@
 	case ebonywood.DrainAsked:
 		actions = membership.leave()
 	}
+	membership.applyChanges()
 	if membership.owners != before {
 		actions = append(actions, ebonywood.NewAnnounceOwners(membership.owners))
 	}
@@ -395,19 +401,54 @@
 	membership.spread(update)
 	isLive := update.State() <= ebonywood.PeerSuspect
 	if wasLive != isLive || moved {
-		membership.moveInTable(name, isLive)
+		membership.changes[name] = isLive
 	}
 }
 
-func (membership *Membership) moveInTable(name string, isLive bool) {
-	if isLive {
-		membership.table.Join(name)
-	} else {
-		membership.table.Leave(name)
+// applyChanges moves the table of owners on by what one event changed. Many
+// changes at once, as when a region is lost or this proxy joins, make a new table,
+// which costs less than as many single steps.
+func (membership *Membership) applyChanges() {
+	if len(membership.changes) == 0 {
+		return
+	}
+	if len(membership.changes) > bulkChanges {
+		membership.renewTable()
 	}
+	for _, name := range slices.Sorted(maps.Keys(membership.changes)) {
+		if membership.changes[name] {
+			membership.table.Join(name)
+		} else {
+			membership.table.Leave(name)
+		}
+	}
+	clear(membership.changes)
 	membership.rebuild()
 }
 
+// renewTable makes a table of all live proxies.
+func (membership *Membership) renewTable() {
+	membership.table = rendezvous.New(ebonywood.OwnerCount)
+	membership.table.Join(membership.self.Name())
+	for name, known := range membership.beliefs {
+		if known.update.State() <= ebonywood.PeerSuspect {
+			membership.table.Join(name)
+		}
+	}
+	membership.table.SetKeys(membership.keys())
+}
+
+// keys are what the proxies are ordered for.
+func (membership *Membership) keys() []string {
+	keys := []string{watcherKey}
+	if membership.set != nil {
+		for _, instance := range membership.set.Instances() {
+			keys = append(keys, string(instance.ID()))
+		}
+	}
+	return keys
+}
+
 // refute answers a suspicion of this proxy by a higher incarnation.
 func (membership *Membership) refute(update ebonywood.PeerUpdate) {
 	if update.State() == ebonywood.PeerAlive || membership.leaving || update.Incarnation() < membership.own {
@@ -461,11 +502,7 @@
 // news of it to a few proxies, which push it on.
 func (membership *Membership) accept(set *ebonywood.ObjectSet) []ebonywood.Action {
 	membership.set, membership.generation = set, set.Generation()
-	keys := []string{watcherKey}
-	for _, instance := range set.Instances() {
-		keys = append(keys, string(instance.ID()))
-	}
-	membership.table.SetKeys(keys)
+	membership.table.SetKeys(membership.keys())
 	membership.rebuild()
 	return membership.push()
 }
