Let the fleet settle before it is measured; let refused callers come back later

Cause: the bytes a node sends seemed to grow with the fleet. They are the news of a mass join, which takes 180 s to be passed on at 320 nodes, at a rate that the limit of news in a message bounds.

--- a/test/measure/fleet.go
+++ b/test/measure/fleet.go
@@ -24,7 +24,7 @@
 // The fleet section runs the control decisions of many proxies in one process on
 // a fake network in virtual time, with 2% loss, and counts what each costs.
 const (
-	fleetSettle  = 120_000
+	fleetSettle  = 240_000
 	fleetSpan    = 20_000
 	fleetTick    = 10
 	fleetDelay   = 2
--- a/test/measure/path.go
+++ b/test/measure/path.go
@@ -24,7 +24,9 @@
 	pathSpan    = 2 * time.Second
 	pathSlots   = 64
 	idleCallers = 2000
-	maxLatency  = int64(10 * time.Second / time.Microsecond)
+	// comeBack is how long a refused caller waits before it tries again.
+	comeBack   = 50 * time.Millisecond
+	maxLatency = int64(10 * time.Second / time.Microsecond)
 )
 
 // load is what a set of callers did in a span.
@@ -75,6 +77,7 @@
 		var refusal *pgconn.PgError
 		if errors.As(err, &refusal) && refusal.Code == "53400" {
 			refused++
+			time.Sleep(comeBack)
 			continue
 		}
 		if err != nil {
