Find connections gone silent by asking the member over another one

Cause: a request on a silent connection cost its whole deadline (5153 ms at a deadline of 5 s), because silence alone can't be told from a long statement.

Change: a request without a first byte after 300 ms makes the lane ask the member whether that connection runs anything; two answers that it does not end the exchange with an unknown outcome. Long statements are active and go on.

Ruled out: a shorter deadline (cuts long statements) and TCP's own timeout (what lost track of the connection may still acknowledge).

--- a/internal/edge/target/confirmer.go
+++ b/internal/edge/target/confirmer.go
@@ -235,21 +235,36 @@
 func (asker *asker) askClaimed(sql string, limit time.Duration) (ebonywood.Status, error) {
 	ctx, cancel := context.WithTimeout(asker.edge.group.Context(), limit)
 	defer cancel()
-	if asker.conn == nil {
-		conn, err := dialControl(ctx, asker.edge, asker.address)
-		if err != nil {
-			return ebonywood.Status{}, err
-		}
-		asker.conn = conn
+	if err := asker.connect(); err != nil {
+		return ebonywood.Status{}, err
 	}
 	status, err := queryStatus(ctx, asker.conn, sql)
 	if err != nil && ebonywood.FaultOf(err).Kind() != ebonywood.KindConflict {
-		asker.conn.Close()
-		asker.conn = nil
+		asker.drop()
 	}
 	return status, err
 }
 
+// connect opens the connection if there is none.
+func (asker *asker) connect() error {
+	if asker.conn != nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(asker.edge.group.Context(), orderLimit)
+	defer cancel()
+	conn, err := dialControl(ctx, asker.edge, asker.address)
+	if err != nil {
+		return err
+	}
+	asker.conn = conn
+	return nil
+}
+
+func (asker *asker) drop() {
+	asker.conn.Close()
+	asker.conn = nil
+}
+
 func sleepFor(ctx context.Context, span time.Duration) {
 	timer := time.NewTimer(span)
 	defer timer.Stop()
--- a/internal/edge/target/lane.go
+++ b/internal/edge/target/lane.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +35,9 @@
 	entered time.Time
 	state   ebonywood.TxState
 	// sent is how many bytes of the request left.
-	sent   int
+	sent int
+	// heard says that the answer has begun.
+	heard  atomic.Bool
 	broken bool
 	// stale says that the connection's prepared statements are in doubt.
 	stale bool
@@ -87,9 +90,11 @@
 	}
 	lane.pool.check(invariant.OneTransaction, lane.conn.lane == lane)
 	lane.pool.check(invariant.WholeAnswer, lane.conn.Buffered() == 0)
-	release := lane.conn.Bound(ctx)
-	state, err := lane.run(ctx, request, sink)
+	guarded, unguard := lane.guard(ctx)
+	release := lane.conn.Bound(guarded)
+	state, err := lane.run(guarded, request, sink)
 	release()
+	unguard()
 	lane.freeSlot()
 	if err != nil {
 		lane.broken = true
@@ -134,6 +139,7 @@
 	ctx context.Context, request *ebonywood.Request, sink ebonywood.Sink,
 ) (ebonywood.TxState, error) {
 	lane.sent = 0
+	lane.heard.Store(false)
 	if err := lane.setUp(ctx, request.Setup()); err != nil {
 		return 0, lane.notRun(err)
 	}
@@ -152,6 +158,7 @@
 		if err != nil {
 			return 0, lane.unknown(err)
 		}
+		lane.heard.Store(true)
 		switch received[0] {
 		case frame.ReadyForQuery:
 			return ebonywood.TxState(received[frame.HeaderSize]), nil
--- a/internal/pgconn/pgconn.go
+++ b/internal/pgconn/pgconn.go
@@ -68,6 +68,9 @@
 // Next returns the next encoded message, valid until the next call.
 func (conn *Conn) Next() ([]byte, error) { return conn.frames.Next() }
 
+// Pid names the connection to the server.
+func (conn *Conn) Pid() uint32 { return conn.pid }
+
 // Buffered is how many received bytes wait to be read; none between requests.
 func (conn *Conn) Buffered() int { return conn.frames.Buffered() }
 
--- a/internal/standin/targetserver/perform.go
+++ b/internal/standin/targetserver/perform.go
@@ -234,6 +234,10 @@
 		each.row(answer)
 		each.complete("SELECT 1")
 		return true
+	case verbActivity:
+		each.row(server.activity(parsed.args[0]))
+		each.complete("SELECT 1")
+		return true
 	case verbSwitch:
 		return each.flip(parsed.args[0], parsed.args[1])
 	case verbConfirm:
@@ -250,6 +254,21 @@
 	}
 }
 
+// activity tells whether a connection runs a statement now.
+func (server *Server) activity(pid string) string {
+	server.mutex.Lock()
+	defer server.mutex.Unlock()
+	for each := range server.sessions {
+		if strconv.FormatUint(uint64(each.pid), 10) == pid {
+			if each.busy.Load() {
+				return "active"
+			}
+			return "idle"
+		}
+	}
+	return "none"
+}
+
 func (each *session) confirm(ctx context.Context, parsed statement) bool {
 	floor, err := ebonywood.ParsePosition(parsed.args[0] + "/" + parsed.args[1])
 	if err != nil {
--- a/internal/standin/targetserver/session.go
+++ b/internal/standin/targetserver/session.go
@@ -32,6 +32,7 @@
 	pid      uint32
 	counted  bool
 	silent   atomic.Bool
+	busy     atomic.Bool
 	canceled chan struct{}
 
 	status     byte
@@ -68,7 +69,10 @@
 		if each.silent.Load() {
 			continue
 		}
-		if !each.handle(ctx, message) {
+		each.busy.Store(true)
+		goesOn := each.handle(ctx, message)
+		each.busy.Store(false)
+		if !goesOn {
 			return
 		}
 	}
--- a/internal/standin/targetserver/statement.go
+++ b/internal/standin/targetserver/statement.go
@@ -33,6 +33,7 @@
 	verbShow
 	verbSet
 	verbReset
+	verbActivity
 )
 
 // statement is one parsed statement. Arguments of the form $n are filled in by
@@ -68,6 +69,7 @@
 	newRule(verbFence, `select\s+ebonywood_fence\(ARG,\s*ARG\)`),
 	newRule(verbPromote, `select\s+ebonywood_promote\(ARG,\s*ARG\)`),
 	newRule(verbConfirm, `select\s+ebonywood_confirm\(ARG,\s*ARG,\s*ARG\)`),
+	newRule(verbActivity, `select\s+ebonywood_activity\(ARG\)`),
 	newRule(verbSwitch, `select\s+ebonywood_switch\(ARG,\s*ARG\)`),
 	newRule(verbBegin, `(?:begin|start\s+transaction)\b.*`),
 	newRule(verbCommit, `(?:commit|end)\b.*`),
@@ -140,7 +142,7 @@
 		return []string{"generate_series"}
 	case verbSleep:
 		return []string{"pg_sleep"}
-	case verbLiteral, verbShow, verbReceive, verbSwitch:
+	case verbLiteral, verbShow, verbReceive, verbSwitch, verbActivity:
 		return []string{"value"}
 	case verbStatus, verbFence, verbPromote, verbConfirm:
 		return []string{"role", "fenced", "log_end", "applied", "upstream_age_ms"}
@@ -151,7 +153,7 @@
 
 func (parsed statement) isControl() bool {
 	switch parsed.verb {
-	case verbStatus, verbFence, verbPromote, verbConfirm, verbReceive, verbSwitch:
+	case verbStatus, verbFence, verbPromote, verbConfirm, verbReceive, verbSwitch, verbActivity:
 		return true
 	default:
 		return false
