Let a session's read after its write go to a replica sooner

Change: what a replica shows while it confirms a write is told to control, at most each 2 ms, and wanted rounds may be 1 ms apart.

Ruled out: a shorter wait.

--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -42,7 +42,7 @@
 	// moveRetry is the pause after a planned change that could not be made.
 	moveRetry ebonywood.Millis = 1000
 	// leastRoundGap is the least time between two rounds, whoever wants them.
-	leastRoundGap ebonywood.Millis = 5
+	leastRoundGap ebonywood.Millis = 1
 	// standbyFactor is how much rarer the rounds of those are that stand in.
 	standbyFactor = 10
 	// backoffLimit bounds the random part of the pause after a lost duel.
--- a/internal/edge/target/confirmer.go
+++ b/internal/edge/target/confirmer.go
@@ -18,6 +18,8 @@
 	// that it is not there yet. Short slices tell a member that lags from a
 	// connection that has gone silent.
 	confirmSlice = 200 * time.Millisecond
+	// observeGap is the least time between two observations of one member.
+	observeGap ebonywood.Millis = 2
 	// confirmPause follows an answer that is no confirmation.
 	confirmPause = 5 * time.Millisecond
 )
@@ -39,8 +41,10 @@
 	batch   *confirmation.Batch
 	number  uint64
 	waiters map[uint64]chan verdict
-	primary ebonywood.MemberID
-	term    ebonywood.Term
+	// observed is when each member's status was last told to control.
+	observed map[ebonywood.MemberID]ebonywood.Millis
+	primary  ebonywood.MemberID
+	term     ebonywood.Term
 	// running is true from the start of a batch until its run has ended, which is
 	// later than the moment at which the batch is settled.
 	running bool
@@ -50,6 +54,7 @@
 	confirm := &confirmer{
 		edge: edge, instance: instance, askers: map[ebonywood.MemberID]*asker{},
 		batch: confirmation.New(len(instance.Members())), waiters: map[uint64]chan verdict{},
+		observed: map[ebonywood.MemberID]ebonywood.Millis{},
 	}
 	for _, member := range instance.Members() {
 		confirm.askers[member.ID()] = newAsker(edge, member.Address())
@@ -150,9 +155,14 @@
 			continue
 		}
 		confirm.edge.group.Go(func(context.Context) error {
-			if asker.confirm(ctx, text) && confirm.agree(id, round) {
+			asked := confirm.edge.port.Clock().Now()
+			status, confirmed := asker.confirm(ctx, text)
+			if confirmed && confirm.agree(id, round) {
 				settled()
 			}
+			if confirmed {
+				confirm.observe(id, asked, status)
+			}
 			return nil
 		})
 	}
@@ -166,6 +176,23 @@
 	return len(numbers) > 0
 }
 
+// observe tells control what a replica showed while it confirmed, so that a
+// session's next read need not wait for a status round. It is told seldom enough
+// not to burden the control loop, whatever the rate of writes.
+func (confirm *confirmer) observe(id ebonywood.MemberID, asked ebonywood.Millis, status ebonywood.Status) {
+	confirm.mutex.Lock()
+	recent := asked-confirm.observed[id] < observeGap
+	if !recent {
+		confirm.observed[id] = asked
+	}
+	confirm.mutex.Unlock()
+	if recent {
+		return
+	}
+	order := ebonywood.NewMemberOrder(confirm.instance.ID(), id, ebonywood.OrderStatus, 0, 0)
+	confirm.edge.post(ebonywood.NewMemberReply(order, asked, false, status, nil))
+}
+
 // settle tells the waiting callers; the mutex is held.
 func (confirm *confirmer) settle(numbers []uint64, result verdict) {
 	for _, number := range numbers {
@@ -213,21 +240,20 @@
 	return status, err
 }
 
-// confirm asks until the member has the position, or ctx ends. It reports false
-// when the member refuses, because it obeys a later term.
-func (asker *asker) confirm(ctx context.Context, text string) bool {
+// confirm asks until the member has the position, or ctx ends.
+func (asker *asker) confirm(ctx context.Context, text string) (status ebonywood.Status, confirmed bool) {
 	if asker.claim(ctx) != nil {
-		return false
+		return ebonywood.Status{}, false
 	}
 	defer asker.free()
 	for ctx.Err() == nil {
-		_, err := asker.askClaimed(text, confirmSlice+orderLimit)
+		status, err := asker.askClaimed(text, confirmSlice+orderLimit)
 		if err == nil {
-			return true
+			return status, true
 		}
 		sleepFor(ctx, confirmPause)
 	}
-	return false
+	return ebonywood.Status{}, false
 }
 
 // askClaimed asks over the claimed connection. Its limit is its own: breaking a
