Let a panic stop its run group instead of hiding until shutdown

Cause: conc keeps a panic until Wait, so a goroutine that panicked was missed until the process stopped, and a violated invariant ended nothing in the tests that drive the binary.

Change: a panic is the group's error; what one caller's input brings out ends that caller only; strict checking exits at once; the end-to-end tests ask every living proxy for its violations.

--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/credentials"
 	"github.com/ebonywood/ebonywood/internal/identity"
@@ -124,7 +126,10 @@
 			return err
 		}
 		group.Go(func(ctx context.Context) error {
-			edge.serve(ctx, socket)
+			// A fault that one caller's input brings out ends that caller only.
+			if caught := panics.Try(func() { edge.serve(ctx, socket) }); caught != nil {
+				edge.port.Log().Error(caught.AsError(), "a caller's session failed")
+			}
 			return nil
 		})
 	}
--- a/internal/edge/target/target.go
+++ b/internal/edge/target/target.go
@@ -69,7 +69,10 @@
 // Run works until ctx ends, then closes all connections.
 func (edge *Edge) Run(ctx context.Context) error {
 	edge.group.Go(edge.watchReigns)
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-edge.group.Context().Done():
+	}
 	edge.group.Stop()
 	edge.mutex.Lock()
 	for _, pool := range edge.pools {
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -1,8 +1,8 @@
 // Package invariant checks, inside the running program, what must always hold.
 //
 // In production a violation is counted and logged, because a proxy that stops
-// serves nobody. In tests and soak runs it panics, so that the run ends where
-// the fault is. docs/INVARIANTS.md names each check and the test that breaks it.
+// serves nobody. In tests and soak runs it ends the process, so that the run ends
+// where the fault is. docs/INVARIANTS.md names each check and the test that breaks it.
 package invariant
 
 import (
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -34,6 +34,8 @@
 const (
 	eventBacklog = 4096
 	tickPeriod   = 10 * time.Millisecond
+	// exitViolated is the exit code of a process that strict checking ended.
+	exitViolated = 70
 	// strictVariable makes a violated invariant end the process.
 	strictVariable = "EBONYWOOD_STRICT"
 )
@@ -135,6 +137,7 @@
 	case <-ctx.Done():
 		err = kernel.Post(context.Background(), ebonywood.DrainAsked{})
 	case err = <-failed:
+	case <-control.Context().Done():
 	}
 	for i := len(groups) - 1; i >= 0; i-- {
 		groups[i].Stop()
@@ -265,7 +268,8 @@
 	kernel.metrics.Scope().Tagged(map[string]string{"invariant": name}).Counter("violations").Inc(1)
 	kernel.log.Error(nil, "invariant violated", "invariant", name, "detail", detail)
 	if os.Getenv(strictVariable) != "" {
-		panic("invariant violated: " + name + ": " + detail)
+		fmt.Fprintln(os.Stderr, "invariant violated:", name, detail)
+		os.Exit(exitViolated)
 	}
 }
 
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/panics"
 )
 
 // Group runs goroutines until one of them fails or the group is stopped. The
@@ -41,11 +42,18 @@
 	return group.ctx
 }
 
-// Go starts a goroutine. An error other than the context's own stops the group.
+// Go starts a goroutine. An error other than the context's own stops the group,
+// and so does a panic: what is left of a group that lost a goroutine would wait
+// for it for ever.
 func (group *Group) Go(work func(ctx context.Context) error) {
 	ctx := group.Context()
 	group.wait.Go(func() {
-		if err := work(ctx); err != nil && ctx.Err() == nil {
+		var err error
+		caught := panics.Try(func() { err = work(ctx) })
+		switch {
+		case caught != nil:
+			group.cancel(caught.AsError())
+		case err != nil && ctx.Err() == nil:
 			group.cancel(err)
 		}
 	})
--- a/test/e2e/orders_test.go
+++ b/test/e2e/orders_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -128,6 +130,7 @@
 		}
 		return nil
 	})
+	site.requireNoViolations(t)
 	for order, outcome := range ledger.orders {
 		switch outcome {
 		case acknowledged:
@@ -143,6 +146,24 @@
 	t.Logf("%.600q", ledger.seen)
 }
 
+// requireNoViolations asks every proxy that lives for its broken invariants. A
+// proxy that strict checking ended does not live.
+func (site *site) requireNoViolations(t *testing.T) {
+	for i, address := range site.operator {
+		response, err := http.Get("http://" + address + "/status")
+		if err != nil {
+			require.Equal(t, site.killed, i, "proxy p%d is gone: %v", i, err)
+			continue
+		}
+		var status struct {
+			Violations map[string]int `json:"violations"`
+		}
+		require.NoError(t, json.NewDecoder(response.Body).Decode(&status))
+		require.NoError(t, response.Body.Close())
+		require.Empty(t, status.Violations)
+	}
+}
+
 // TestOrdersSurviveFailures writes numbered orders through two proxies while the
 // primary is killed, frozen, or a proxy dies.
 func TestOrdersSurviveFailures(t *testing.T) {
@@ -156,7 +177,10 @@
 			time.Sleep(2 * time.Second)
 			_ = site.targets[0].Process.Signal(syscall.SIGCONT)
 		}},
-		{"proxy killed", func(site *site) { _ = site.proxies[1].Process.Kill() }},
+		{"proxy killed", func(site *site) {
+			site.killed = 1
+			_ = site.proxies[1].Process.Kill()
+		}},
 		{"proxy paused", func(site *site) {
 			_ = site.proxies[1].Process.Signal(syscall.SIGSTOP)
 			time.Sleep(time.Second)
--- a/test/e2e/thin_test.go
+++ b/test/e2e/thin_test.go
@@ -88,6 +88,8 @@
 	proxies  []*exec.Cmd
 	operator []string
 	peers    []string
+	// killed is the number of the proxy that the test killed, -1 if none.
+	killed int
 }
 
 const objects = `
@@ -113,7 +115,7 @@
 `
 
 func startSite(t *testing.T, proxies int, lag time.Duration) *site {
-	site := &site{platform: freeAddress(t)}
+	site := &site{platform: freeAddress(t), killed: -1}
 	start(t, "standin", "platform", "--listen", site.platform)
 	for range 3 {
 		site.members = append(site.members, freeAddress(t))
