--- a/internal/decision/membership/membership.go
+++ b/internal/decision/membership/membership.go
@@ -12,10 +12,8 @@
 
 import (
 	"maps"
-	"math/bits"
 	"math/rand/v2"
 	"slices"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -178,177 +176,6 @@
 	return append(actions, membership.probeNext(now)...)
 }
 
-// forgive drops what may have been missed while this process was paused.
-func (membership *Membership) forgive(gap ebonywood.Millis) {
-	clear(membership.probes)
-	for _, belief := range membership.beliefs {
-		belief.since += gap
-	}
-}
-
-func (membership *Membership) probeNext(now ebonywood.Millis) []ebonywood.Action {
-	membership.sent++
-	if membership.sent%membership.exchangeEvery() == 0 && len(membership.peers) > 1 {
-		address := membership.peers[membership.random.IntN(len(membership.peers))].Address()
-		if address != membership.self.Address() {
-			return []ebonywood.Action{ebonywood.NewProbePeer(address, "", 0, true, membership.takeNews())}
-		}
-	}
-	if address, found := membership.stranger(); found {
-		return []ebonywood.Action{ebonywood.NewProbePeer(address, "", 0, true, membership.takeNews())}
-	}
-	name, found := membership.nextInRing()
-	if !found {
-		return nil
-	}
-	return []ebonywood.Action{membership.startProbe(now, name)}
-}
-
-// exchangeEvery is how many probes go by before one asks for all that the other
-// knows, since news may miss a proxy by chance. It grows with the fleet, as the
-// answer does, so that the bytes a second stay the same.
-func (membership *Membership) exchangeEvery() uint64 {
-	return uint64(max(leastExchange, len(membership.peers)/exchangeShare))
-}
-
-// stranger picks, now and then, an address that is not among the live.
-func (membership *Membership) stranger() (string, bool) {
-	if len(membership.peers) > 1 && membership.sent%recontactEvery != 0 {
-		return "", false
-	}
-	var strangers []string
-	for _, address := range slices.Concat(membership.seeds, membership.hosts) {
-		if !membership.addresses[address] {
-			strangers = append(strangers, address)
-		}
-	}
-	for name := range membership.doubtful {
-		if known := membership.beliefs[name].update; known.State() == ebonywood.PeerDead {
-			strangers = append(strangers, known.Peer().Address())
-		}
-	}
-	if len(strangers) == 0 {
-		return "", false
-	}
-	slices.Sort(strangers)
-	return strangers[membership.random.IntN(len(strangers))], true
-}
-
-// nextInRing takes the live proxies in a shuffled order, so that each is probed
-// once a round.
-func (membership *Membership) nextInRing() (string, bool) {
-	for range 2 {
-		for len(membership.ring) > 0 {
-			name := membership.ring[0]
-			membership.ring = membership.ring[1:]
-			if known, found := membership.beliefs[name]; found && known.update.State() <= ebonywood.PeerSuspect {
-				return name, true
-			}
-		}
-		for _, peer := range membership.peers {
-			if peer.Name() != membership.self.Name() {
-				membership.ring = append(membership.ring, peer.Name())
-			}
-		}
-		membership.random.Shuffle(len(membership.ring), func(i, j int) {
-			membership.ring[i], membership.ring[j] = membership.ring[j], membership.ring[i]
-		})
-	}
-	return "", false
-}
-
-func (membership *Membership) startProbe(now ebonywood.Millis, name string) ebonywood.Action {
-	membership.number++
-	membership.probes[membership.number] = &probe{name: name, until: now + probeLimit, number: membership.number}
-	address := membership.beliefs[name].update.Peer().Address()
-	return ebonywood.NewProbePeer(address, "", membership.number, false, membership.takeNews())
-}
-
-// answered ends a probe, or repeats a failed one through others.
-func (membership *Membership) answered(now ebonywood.Millis, event ebonywood.ProbeAnswered) []ebonywood.Action {
-	waiting, found := membership.probes[event.Number()]
-	if !found {
-		return nil
-	}
-	if event.HasAnswered() {
-		delete(membership.probes, event.Number())
-		return nil
-	}
-	if waiting.indirect > 0 {
-		return nil
-	}
-	return membership.askHelpers(now, waiting)
-}
-
-// askHelpers repeats a probe through proxies of other zones, as far as there are
-// any.
-func (membership *Membership) askHelpers(now ebonywood.Millis, waiting *probe) []ebonywood.Action {
-	waiting.until = now + probeLimit
-	target := membership.beliefs[waiting.name].update.Peer()
-	candidates := membership.sample(target.Name())
-	slices.SortStableFunc(candidates, func(left, right ebonywood.PeerView) int {
-		return sameZone(left, membership.self) - sameZone(right, membership.self)
-	})
-	var actions []ebonywood.Action
-	for _, helper := range candidates[:min(helpers, len(candidates))] {
-		waiting.indirect++
-		actions = append(actions, ebonywood.NewProbePeer(target.Address(), helper.Address(), waiting.number, false, nil))
-	}
-	if waiting.indirect == 0 {
-		waiting.until = now
-	}
-	return actions
-}
-
-// sample draws a few live proxies other than this one and the target.
-func (membership *Membership) sample(target string) []ebonywood.PeerView {
-	var drawn []ebonywood.PeerView
-	for range helpers * sampleFactor {
-		peer := membership.peers[membership.random.IntN(len(membership.peers))]
-		if peer.Name() != target && peer.Name() != membership.self.Name() && !slices.Contains(drawn, peer) {
-			drawn = append(drawn, peer)
-		}
-	}
-	return drawn
-}
-
-func sameZone(peer, self ebonywood.PeerView) int {
-	if peer.Zone() == self.Zone() {
-		return 1
-	}
-	return 0
-}
-
-// expireProbes suspects those whom neither this proxy nor others reached.
-func (membership *Membership) expireProbes(now ebonywood.Millis) []ebonywood.Action {
-	var actions []ebonywood.Action
-	for _, number := range sortedKeys(membership.probes) {
-		waiting := membership.probes[number]
-		if now < waiting.until {
-			continue
-		}
-		known, found := membership.beliefs[waiting.name]
-		if found && waiting.indirect == 0 && len(membership.peers) > 2 {
-			actions = append(actions, membership.askHelpers(now, waiting)...)
-			continue
-		}
-		delete(membership.probes, number)
-		if found && known.update.State() == ebonywood.PeerAlive {
-			membership.believe(now, ebonywood.NewPeerUpdate(known.update.Peer(), known.update.Incarnation(), ebonywood.PeerSuspect))
-		}
-	}
-	return actions
-}
-
-func sortedKeys(probes map[uint64]*probe) []uint64 {
-	keys := make([]uint64, 0, len(probes))
-	for key := range probes {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
-
 // expireSuspects declares dead who did not refute in time, and forgets the dead
 // after a while.
 func (membership *Membership) expireSuspects(now ebonywood.Millis) {
@@ -365,8 +192,6 @@
 	}
 }
 
-func (membership *Membership) logarithm() int { return bits.Len(uint(len(membership.peers) + 1)) }
-
 // hear takes news, answers suspicion of itself, and fetches a newer set.
 func (membership *Membership) hear(now ebonywood.Millis, event ebonywood.NewsHeard) []ebonywood.Action {
 	for _, update := range event.Updates() {
@@ -405,50 +230,6 @@
 	}
 }
 
-// applyChanges moves the table of owners on by what one event changed. Many
-// changes at once, as when a region is lost or this proxy joins, make a new table,
-// which costs less than as many single steps.
-func (membership *Membership) applyChanges() {
-	if len(membership.changes) == 0 {
-		return
-	}
-	if len(membership.changes) > bulkChanges {
-		membership.renewTable()
-	}
-	for _, name := range slices.Sorted(maps.Keys(membership.changes)) {
-		if membership.changes[name] {
-			membership.table.Join(name)
-		} else {
-			membership.table.Leave(name)
-		}
-	}
-	clear(membership.changes)
-	membership.rebuild()
-}
-
-// renewTable makes a table of all live proxies.
-func (membership *Membership) renewTable() {
-	membership.table = rendezvous.New(ebonywood.OwnerCount)
-	membership.table.Join(membership.self.Name())
-	for name, known := range membership.beliefs {
-		if known.update.State() <= ebonywood.PeerSuspect {
-			membership.table.Join(name)
-		}
-	}
-	membership.table.SetKeys(membership.keys())
-}
-
-// keys are what the proxies are ordered for.
-func (membership *Membership) keys() []string {
-	keys := []string{watcherKey}
-	if membership.set != nil {
-		for _, instance := range membership.set.Instances() {
-			keys = append(keys, string(instance.ID()))
-		}
-	}
-	return keys
-}
-
 // refute answers a suspicion of this proxy by a higher incarnation.
 func (membership *Membership) refute(update ebonywood.PeerUpdate) {
 	if update.State() == ebonywood.PeerAlive || membership.leaving || update.Incarnation() < membership.own {
@@ -466,38 +247,6 @@
 	return ebonywood.NewPeerUpdate(membership.self, membership.own, state)
 }
 
-// spread puts an update at the head of the news.
-func (membership *Membership) spread(update ebonywood.PeerUpdate) {
-	membership.news = slices.DeleteFunc(membership.news, func(other *item) bool {
-		return other.update.Peer().Name() == update.Peer().Name()
-	})
-	membership.news = append(membership.news, &item{update: update, left: spreadFactor * membership.logarithm()})
-	membership.republish()
-}
-
-// takeNews chooses what goes with the next probe: this proxy itself, then what
-// was passed on least.
-func (membership *Membership) takeNews() []ebonywood.PeerUpdate {
-	slices.SortStableFunc(membership.news, func(left, right *item) int { return right.left - left.left })
-	updates := []ebonywood.PeerUpdate{membership.ownUpdate()}
-	for _, each := range membership.news[:min(newsLimit, len(membership.news))] {
-		updates = append(updates, each.update)
-		each.left--
-	}
-	membership.news = slices.DeleteFunc(membership.news, func(each *item) bool { return each.left <= 0 })
-	membership.republish()
-	return updates
-}
-
-// republish renews what answers to other proxies carry.
-func (membership *Membership) republish() {
-	published := []ebonywood.PeerUpdate{membership.ownUpdate()}
-	for _, each := range membership.news[:min(newsLimit, len(membership.news))] {
-		published = append(published, each.update)
-	}
-	membership.published = published
-}
-
 // accept makes the instances of a new set the keys of the owners, and pushes the
 // news of it to a few proxies, which push it on.
 func (membership *Membership) accept(set *ebonywood.ObjectSet) []ebonywood.Action {
@@ -507,16 +256,6 @@
 	return membership.push()
 }
 
-// push probes a few proxies at once.
-func (membership *Membership) push() []ebonywood.Action {
-	others := membership.sample(membership.self.Name())
-	var actions []ebonywood.Action
-	for _, peer := range others[:min(pushCount, len(others))] {
-		actions = append(actions, ebonywood.NewProbePeer(peer.Address(), "", 0, false, membership.takeNews()))
-	}
-	return actions
-}
-
 // noteHosts takes the platform's list as further addresses to begin with, and
 // pushes the news of it on.
 func (membership *Membership) noteHosts(event ebonywood.HostsSeen) []ebonywood.Action {
@@ -550,43 +289,6 @@
 	return membership.push()
 }
 
-// rebuild makes a new table of owners and list of peers.
-func (membership *Membership) rebuild() {
-	byName := map[string]ebonywood.PeerView{membership.self.Name(): membership.self}
-	for name, known := range membership.beliefs {
-		if known.update.State() <= ebonywood.PeerSuspect {
-			byName[name] = known.update.Peer()
-		}
-	}
-	peers := make([]ebonywood.PeerView, 0, len(byName))
-	for _, peer := range byName {
-		peers = append(peers, peer)
-	}
-	slices.SortFunc(peers, func(left, right ebonywood.PeerView) int { return strings.Compare(left.Name(), right.Name()) })
-	membership.peers = peers
-	membership.addresses = make(map[string]bool, len(peers))
-	for _, peer := range peers {
-		membership.addresses[peer.Address()] = true
-	}
-	byInstance := map[ebonywood.InstanceID][]ebonywood.PeerView{}
-	if membership.set != nil {
-		for _, instance := range membership.set.Instances() {
-			byInstance[instance.ID()] = viewsOf(membership.table.Top(string(instance.ID())), byName)
-		}
-	}
-	watchers := viewsOf(membership.table.Top(watcherKey), byName)
-	membership.owners = ebonywood.NewOwners(membership.self.Name(), byInstance, watchers[:min(watcherCount, len(watchers))])
-	membership.republish()
-}
-
-func viewsOf(names []string, byName map[string]ebonywood.PeerView) []ebonywood.PeerView {
-	views := make([]ebonywood.PeerView, 0, len(names))
-	for _, name := range names {
-		views = append(views, byName[name])
-	}
-	return views
-}
-
 // Contribute adds the live proxies, the owners and the news.
 func (membership *Membership) Contribute(draft *ebonywood.Draft) {
 	draft.SetPeers(membership.peers)
--- a/internal/edge/caller/authenticate.go
+++ b/internal/edge/caller/authenticate.go
@@ -13,41 +13,41 @@
 
 // authenticate runs a SCRAM exchange. What went wrong is not told to the caller
 // beyond that it failed.
-func (each *conversation) authenticate(user string) error {
-	if each.edge.credentials == nil {
+func (caller *conversation) authenticate(user string) error {
+	if caller.edge.credentials == nil {
 		return nil
 	}
-	exchange, err := each.edge.credentials.Begin(user)
+	exchange, err := caller.edge.credentials.Begin(user)
 	if err != nil {
 		return err
 	}
-	each.write(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	caller.write(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
 	var first pgproto3.SASLInitialResponse
-	if err := each.receivePassword(&first); err != nil {
+	if err := caller.receivePassword(&first); err != nil {
 		return err
 	}
 	answer, err := exchange.Step(string(first.Data))
 	if err != nil {
 		return refused(user)
 	}
-	each.write(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
+	caller.write(&pgproto3.AuthenticationSASLContinue{Data: []byte(answer)})
 	var second pgproto3.SASLResponse
-	if err := each.receivePassword(&second); err != nil {
+	if err := caller.receivePassword(&second); err != nil {
 		return err
 	}
 	answer, err = exchange.Step(string(second.Data))
 	if err != nil || !exchange.Valid() {
 		return refused(user)
 	}
-	each.write(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
+	caller.write(&pgproto3.AuthenticationSASLFinal{Data: []byte(answer)})
 	return nil
 }
 
-func (each *conversation) receivePassword(into pgproto3.FrontendMessage) error {
-	if err := each.flush(); err != nil {
+func (caller *conversation) receivePassword(into pgproto3.FrontendMessage) error {
+	if err := caller.flush(); err != nil {
 		return err
 	}
-	message, err := each.frames.Next()
+	message, err := caller.frames.Next()
 	if err != nil {
 		return err
 	}
--- a/internal/edge/caller/conversation.go
+++ b/internal/edge/caller/conversation.go
@@ -46,21 +46,21 @@
 }
 
 // loop serves requests until the caller leaves or the session is drained.
-func (each *conversation) loop(ctx context.Context) {
-	defer each.releaseLane()
+func (caller *conversation) loop(ctx context.Context) {
+	defer caller.releaseLane()
 	for {
-		request, err := each.readRequest()
+		request, err := caller.readRequest()
 		if err != nil {
-			each.refuseInput(err)
+			caller.refuseInput(err)
 			return
 		}
-		if request == nil || !each.beginRequest() {
+		if request == nil || !caller.beginRequest() {
 			return
 		}
-		if err := each.serve(ctx, request); err != nil {
+		if err := caller.serve(ctx, request); err != nil {
 			return
 		}
-		if !each.endRequest() {
+		if !caller.endRequest() {
 			return
 		}
 	}
@@ -68,93 +68,93 @@
 
 // refuseInput answers input that can't be accepted; a caller that just left gets
 // nothing.
-func (each *conversation) refuseInput(err error) {
+func (caller *conversation) refuseInput(err error) {
 	fault := ebonywood.FaultOf(err)
 	if fault.Kind() == ebonywood.KindBadInput {
-		each.refuse(fault)
+		caller.refuse(fault)
 	}
 }
 
 // beginRequest marks the session as busy; it reports false when the session was
 // asked to leave first.
-func (each *conversation) beginRequest() bool {
-	each.mutex.Lock()
-	defer each.mutex.Unlock()
-	each.busy = true
-	return !each.leaving || each.lane != nil
+func (caller *conversation) beginRequest() bool {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	caller.busy = true
+	return !caller.leaving || caller.lane != nil
 }
 
-func (each *conversation) endRequest() bool {
-	each.mutex.Lock()
-	defer each.mutex.Unlock()
-	each.busy = each.lane != nil
-	return each.busy || !each.leaving
+func (caller *conversation) endRequest() bool {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	caller.busy = caller.lane != nil
+	return caller.busy || !caller.leaving
 }
 
 // leaveWhenIdle closes the session if it is between two transactions. A request
 // that is read at the same moment was not begun, so it is not cut off: the
 // caller sees a closed connection before any answer.
-func (each *conversation) leaveWhenIdle() {
-	each.mutex.Lock()
-	defer each.mutex.Unlock()
-	if !each.busy && !each.leaving {
-		each.leaving = true
-		_ = each.socket.SetReadDeadline(time.Unix(1, 0))
+func (caller *conversation) leaveWhenIdle() {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	if !caller.busy && !caller.leaving {
+		caller.leaving = true
+		_ = caller.socket.SetReadDeadline(time.Unix(1, 0))
 	}
-	each.leaving = true
+	caller.leaving = true
 }
 
 // cancel passes a cancel request to the target that works for this session.
-func (each *conversation) cancel(ctx context.Context) {
-	each.mutex.Lock()
-	lane := each.lane
-	each.mutex.Unlock()
+func (caller *conversation) cancel(ctx context.Context) {
+	caller.mutex.Lock()
+	lane := caller.lane
+	caller.mutex.Unlock()
 	if lane != nil {
 		lane.Cancel(ctx)
 	}
 }
 
-func (each *conversation) setLane(lane ebonywood.Lane) {
-	each.mutex.Lock()
-	defer each.mutex.Unlock()
-	each.lane = lane
+func (caller *conversation) setLane(lane ebonywood.Lane) {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	caller.lane = lane
 }
 
-func (each *conversation) releaseLane() {
-	lane := each.lane
+func (caller *conversation) releaseLane() {
+	lane := caller.lane
 	if lane == nil {
 		return
 	}
-	each.setLane(nil)
+	caller.setLane(nil)
 	lane.Release()
 }
 
 // serve runs one request to its end. An error ends the session.
-func (each *conversation) serve(ctx context.Context, request *callerRequest) error {
+func (caller *conversation) serve(ctx context.Context, request *callerRequest) error {
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(ctx, each.route.Deadline().Duration())
+	ctx, cancel := context.WithTimeout(ctx, caller.route.Deadline().Duration())
 	defer cancel()
-	fault := each.runToEnd(ctx, request)
-	each.count(fault, time.Since(began))
+	fault := caller.runToEnd(ctx, request)
+	caller.count(fault, time.Since(began))
 	if fault != nil {
-		each.writeFault(fault, "ERROR")
-		each.write(&pgproto3.ReadyForQuery{TxStatus: byte(ebonywood.TxIdle)})
+		caller.writeFault(fault, "ERROR")
+		caller.write(&pgproto3.ReadyForQuery{TxStatus: byte(ebonywood.TxIdle)})
 	}
-	return each.flush()
+	return caller.flush()
 }
 
 // runToEnd tries the request until it is answered, refused or in doubt.
-func (each *conversation) runToEnd(ctx context.Context, request *callerRequest) *ebonywood.Fault {
-	if fault := each.refuseSessionState(request); fault != nil {
+func (caller *conversation) runToEnd(ctx context.Context, request *callerRequest) *ebonywood.Fault {
+	if fault := caller.refuseSessionState(request); fault != nil {
 		return fault
 	}
-	each.edge.earn(each.route)
+	caller.edge.earn(caller.route)
 	for number := 0; ; number++ {
-		again, fault := each.attempt(ctx, request)
+		again, fault := caller.attempt(ctx, request)
 		if !again || ctx.Err() != nil {
 			return fault
 		}
-		pause, allowed := each.edge.spend(each.route, number)
+		pause, allowed := caller.edge.spend(caller.route, number)
 		if !allowed {
 			return fault
 		}
@@ -172,102 +172,102 @@
 }
 
 // attempt runs the request once and reports whether it may be run again.
-func (each *conversation) attempt(ctx context.Context, request *callerRequest) (again bool, fault *ebonywood.Fault) {
-	inTransaction := each.lane != nil
+func (caller *conversation) attempt(ctx context.Context, request *callerRequest) (again bool, fault *ebonywood.Fault) {
+	inTransaction := caller.lane != nil
 	if !inTransaction {
-		lane, err := each.acquire(ctx, request)
+		lane, err := caller.acquire(ctx, request)
 		if err != nil {
 			return false, ebonywood.FaultOf(err)
 		}
-		each.setLane(lane)
+		caller.setLane(lane)
 	}
-	lane := each.lane
-	each.checkAtMostOnce(request)
-	sink := newSink(each, request, lane, inTransaction)
-	answer, err := lane.Exchange(ctx, request.forTarget(each.setup), sink)
+	lane := caller.lane
+	caller.checkAtMostOnce(request)
+	sink := newSink(caller, request, lane, inTransaction)
+	answer, err := lane.Exchange(ctx, request.forTarget(caller.setup), sink)
 	if err != nil {
-		each.releaseLane()
-		return each.judge(request, sink, inTransaction, ebonywood.FaultOf(err))
+		caller.releaseLane()
+		return caller.judge(request, sink, inTransaction, ebonywood.FaultOf(err))
 	}
 	if sink.refused {
-		each.releaseLane()
+		caller.releaseLane()
 		request.access = ebonywood.AccessWrite
 		return !inTransaction, sink.refusal()
 	}
 	if !lane.IsPrimary() {
-		each.state.Showed(lane.Member(), each.edge.port.Clock().Now())
+		caller.state.Showed(lane.Member(), caller.edge.port.Clock().Now())
 	}
-	each.finish(answer, sink)
+	caller.finish(answer, sink)
 	if request.setting != "" && !sink.failed {
-		each.keepSetting(request.setting)
+		caller.keepSetting(request.setting)
 	}
 	return false, nil
 }
 
 // checkAtMostOnce asserts that a request that may have been run on a primary is
 // not run there again, unless its route says that it is repeatable.
-func (each *conversation) checkAtMostOnce(request *callerRequest) {
-	safe := each.route.IsRepeatable() || !request.inDoubt
-	each.edge.port.Invariants().Check(invariant.AtMostOnce, safe, string(each.instance))
+func (caller *conversation) checkAtMostOnce(request *callerRequest) {
+	safe := caller.route.IsRepeatable() || !request.inDoubt
+	caller.edge.port.Invariants().Check(invariant.AtMostOnce, safe, string(caller.instance))
 }
 
 // judge decides what a failed exchange means to the caller.
-func (each *conversation) judge(
+func (caller *conversation) judge(
 	request *callerRequest, sink *sink, inTransaction bool, fault *ebonywood.Fault,
 ) (again bool, final *ebonywood.Fault) {
-	each.output = each.output[:sink.start]
+	caller.output = caller.output[:sink.start]
 	if fault.Kind() == ebonywood.KindUnknown {
-		each.state.Doubted(each.edge.port.Clock().Now())
+		caller.state.Doubted(caller.edge.port.Clock().Now())
 		request.inDoubt = request.inDoubt || sink.lane.IsPrimary()
 	}
-	safe := !sink.lane.IsPrimary() || each.route.IsRepeatable()
+	safe := !sink.lane.IsPrimary() || caller.route.IsRepeatable()
 	return retry.MayRepeat(fault.Kind(), inTransaction, safe, sink.relayed), fault
 }
 
-func (each *conversation) acquire(ctx context.Context, request *callerRequest) (ebonywood.Lane, error) {
-	left := each.route.Deadline()
+func (caller *conversation) acquire(ctx context.Context, request *callerRequest) (ebonywood.Lane, error) {
+	left := caller.route.Deadline()
 	if until, bounded := ctx.Deadline(); bounded {
 		left = ebonywood.MillisOf(time.Until(until))
 	}
-	need := ebonywood.NewNeed(each.instance, each.route.Name(), request.access, each.state.Floor(), max(left, 1), request.shape)
-	return each.edge.port.Lanes().Acquire(ctx, need)
+	need := ebonywood.NewNeed(caller.instance, caller.route.Name(), request.access, caller.state.Floor(), max(left, 1), request.shape)
+	return caller.edge.port.Lanes().Acquire(ctx, need)
 }
 
 // finish passes on the end of an answer and settles the session's state.
-func (each *conversation) finish(answer ebonywood.Answer, sink *sink) {
+func (caller *conversation) finish(answer ebonywood.Answer, sink *sink) {
 	sink.release()
 	if !answer.Position().IsZero() {
-		each.state.Answered(answer.Position())
-		each.announceToken(each.state.Floor().At())
+		caller.state.Answered(answer.Position())
+		caller.announceToken(caller.state.Floor().At())
 	}
 	if answer.State() == ebonywood.TxIdle {
-		each.releaseLane()
+		caller.releaseLane()
 	}
-	each.write(&pgproto3.ReadyForQuery{TxStatus: byte(answer.State())})
+	caller.write(&pgproto3.ReadyForQuery{TxStatus: byte(answer.State())})
 }
 
 // announceToken tells the caller its floor, which it may present to another
 // proxy.
-func (each *conversation) announceToken(at ebonywood.Position) {
-	if at == each.token {
+func (caller *conversation) announceToken(at ebonywood.Position) {
+	if at == caller.token {
 		return
 	}
-	each.token = at
-	each.write(&pgproto3.ParameterStatus{Name: tokenParameter, Value: at.String()})
+	caller.token = at
+	caller.write(&pgproto3.ParameterStatus{Name: tokenParameter, Value: at.String()})
 }
 
 // write encodes messages into the output buffer.
-func (each *conversation) write(messages ...pgproto3.BackendMessage) {
+func (caller *conversation) write(messages ...pgproto3.BackendMessage) {
 	for _, message := range messages {
-		encoded, err := message.Encode(each.output)
+		encoded, err := message.Encode(caller.output)
 		if err == nil {
-			each.output = encoded
+			caller.output = encoded
 		}
 	}
 }
 
-func (each *conversation) writeFault(fault *ebonywood.Fault, severity string) {
-	each.write(&pgproto3.ErrorResponse{
+func (caller *conversation) writeFault(fault *ebonywood.Fault, severity string) {
+	caller.write(&pgproto3.ErrorResponse{
 		Severity: severity, SeverityUnlocalized: severity, Code: fault.Kind().SQLState(),
 		Message: fault.Message(), Hint: fault.Remedy(), Detail: fault.Kind().String(),
 	})
@@ -275,26 +275,26 @@
 
 // flush sends the output buffer. A caller that doesn't read for too long is cut
 // off.
-func (each *conversation) flush() error {
-	if len(each.output) == 0 {
+func (caller *conversation) flush() error {
+	if len(caller.output) == 0 {
 		return nil
 	}
-	_ = each.socket.SetWriteDeadline(time.Now().Add(writeLimit))
-	_, err := each.socket.Write(each.output)
-	each.output = each.output[:0]
-	if cap(each.output) > keepBuffer {
-		each.output = nil
+	_ = caller.socket.SetWriteDeadline(time.Now().Add(writeLimit))
+	_, err := caller.socket.Write(caller.output)
+	caller.output = caller.output[:0]
+	if cap(caller.output) > keepBuffer {
+		caller.output = nil
 	}
 	return err
 }
 
 // count feeds the metrics and the account of service levels. What a caller asked
 // for in vain by its own fault does not count against the level.
-func (each *conversation) count(fault *ebonywood.Fault, took time.Duration) {
+func (caller *conversation) count(fault *ebonywood.Fault, took time.Duration) {
 	outcome := "answered"
 	if fault != nil {
 		outcome = fault.Kind().String()
 	}
-	each.edge.meter(each.route.Name(), outcome).record(took)
-	each.edge.port.Levels().Record(each.route.Name(), each.route.Objective(), fault == nil, took, each.edge.port.Clock().Now())
+	caller.edge.meter(caller.route.Name(), outcome).record(took)
+	caller.edge.port.Levels().Record(caller.route.Name(), caller.route.Objective(), fault == nil, took, caller.edge.port.Clock().Now())
 }
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -65,10 +65,10 @@
 // by the Close of a name that doesn't exist, whose answer takes the place of the
 // answer to the Parse, and the statement is prepared under a name that all
 // sessions share wherever it is first used.
-func (each *conversation) readRequest() (*callerRequest, error) {
+func (caller *conversation) readRequest() (*callerRequest, error) {
 	request := &callerRequest{access: ebonywood.AccessRead}
 	for {
-		message, err := each.frames.Next()
+		message, err := caller.frames.Next()
 		if err != nil {
 			return nil, err
 		}
@@ -81,7 +81,7 @@
 			request.body = append(request.body, message...)
 			return request, nil
 		}
-		if err := each.add(request, message); err != nil {
+		if err := caller.add(request, message); err != nil {
 			return nil, err
 		}
 		if len(request.body) > requestSize {
@@ -108,17 +108,17 @@
 }
 
 // add takes one message of the extended protocol.
-func (each *conversation) add(request *callerRequest, message []byte) error {
+func (caller *conversation) add(request *callerRequest, message []byte) error {
 	body := frame.Body(message)
 	switch message[0] {
 	case frame.Parse:
-		return each.addParse(request, body)
+		return caller.addParse(request, body)
 	case frame.Bind:
-		return each.addBind(request, body)
+		return caller.addBind(request, body)
 	case frame.Describe:
-		return each.addDescribe(request, message, body)
+		return caller.addDescribe(request, message, body)
 	case frame.Close:
-		return each.addClose(request, body)
+		return caller.addClose(request, body)
 	case frame.Execute, frame.CopyData, frame.CopyDone, frame.CopyFail:
 		request.body = append(request.body, message...)
 		return nil
@@ -131,7 +131,7 @@
 	}
 }
 
-func (each *conversation) addParse(request *callerRequest, body []byte) error {
+func (caller *conversation) addParse(request *callerRequest, body []byte) error {
 	var parse pgproto3.Parse
 	if err := parse.Decode(body); err != nil {
 		return malformed(err)
@@ -143,10 +143,10 @@
 	if err != nil {
 		return malformed(err)
 	}
-	if each.known.byName == nil {
-		each.known.byName = map[string]prepared{}
+	if caller.known.byName == nil {
+		caller.known.byName = map[string]prepared{}
 	}
-	if _, replaced := each.known.byName[name]; !replaced && len(each.known.byName) >= statementLimit {
+	if _, replaced := caller.known.byName[name]; !replaced && len(caller.known.byName) >= statementLimit {
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("more than %d prepared statements", statementLimit),
 			"close statements that are no longer used")
 	}
@@ -157,7 +157,7 @@
 	if isSetting(parse.Query) {
 		known.setting, known.access = parse.Query, ebonywood.AccessRead
 	}
-	each.known.byName[name] = known
+	caller.known.byName[name] = known
 	request.use(known)
 	return request.addPlaceholder(true)
 }
@@ -190,12 +190,12 @@
 	return nil
 }
 
-func (each *conversation) addBind(request *callerRequest, body []byte) error {
+func (caller *conversation) addBind(request *callerRequest, body []byte) error {
 	var bind pgproto3.Bind
 	if err := bind.Decode(body); err != nil {
 		return malformed(err)
 	}
-	if known, found := each.known.byName[bind.PreparedStatement]; found {
+	if known, found := caller.known.byName[bind.PreparedStatement]; found {
 		request.use(known)
 		bind.PreparedStatement = known.preparation.Name()
 	}
@@ -207,12 +207,12 @@
 	return nil
 }
 
-func (each *conversation) addDescribe(request *callerRequest, message, body []byte) error {
+func (caller *conversation) addDescribe(request *callerRequest, message, body []byte) error {
 	var describe pgproto3.Describe
 	if err := describe.Decode(body); err != nil {
 		return malformed(err)
 	}
-	known, found := each.known.byName[describe.Name]
+	known, found := caller.known.byName[describe.Name]
 	if describe.ObjectType != 'S' || !found {
 		request.body = append(request.body, message...)
 		return nil
@@ -227,13 +227,13 @@
 	return nil
 }
 
-func (each *conversation) addClose(request *callerRequest, body []byte) error {
+func (caller *conversation) addClose(request *callerRequest, body []byte) error {
 	var message pgproto3.Close
 	if err := message.Decode(body); err != nil {
 		return malformed(err)
 	}
 	if message.ObjectType == 'S' {
-		delete(each.known.byName, message.Name)
+		delete(caller.known.byName, message.Name)
 		return request.addPlaceholder(false)
 	}
 	request.closes = append(request.closes, false)
--- a/internal/edge/caller/setting.go
+++ b/internal/edge/caller/setting.go
@@ -37,12 +37,12 @@
 }
 
 // refuseSessionState refuses what can't be kept for a session.
-func (each *conversation) refuseSessionState(request *callerRequest) *ebonywood.Fault {
-	if request.setting != "" && each.lane != nil {
+func (caller *conversation) refuseSessionState(request *callerRequest) *ebonywood.Fault {
+	if request.setting != "" && caller.lane != nil {
 		return ebonywood.NewFault(ebonywood.KindBadInput, "a session setting inside a transaction can't be kept",
 			"use SET LOCAL, or SET before BEGIN")
 	}
-	if len(each.setup)+len(request.setting) > setupSize {
+	if len(caller.setup)+len(request.setting) > setupSize {
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("the session has set more than %d bytes", setupSize),
 			"use RESET ALL, or set defaults for the database user")
 	}
@@ -53,11 +53,11 @@
 }
 
 // keepSetting remembers a setting that a target accepted.
-func (each *conversation) keepSetting(sql string) {
+func (caller *conversation) keepSetting(sql string) {
 	word, rest := firstWord(skipComments(sql))
 	if strings.EqualFold(word, "DISCARD") || strings.EqualFold(strings.Trim(rest, " \t\r\n;"), "ALL") {
-		each.setup = ""
+		caller.setup = ""
 		return
 	}
-	each.setup += strings.TrimRight(sql, " \t\r\n;") + ";"
+	caller.setup += strings.TrimRight(sql, " \t\r\n;") + ";"
 }
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -25,7 +25,7 @@
 // is done. Rows before it are streamed. From a replica the answer is held until
 // it is clear that the statement is not refused as a write.
 type sink struct {
-	session *conversation
+	caller  *conversation
 	request *callerRequest
 	lane    ebonywood.Lane
 	// inTransaction says that a transaction was open before.
@@ -40,10 +40,10 @@
 	message string
 }
 
-func newSink(session *conversation, request *callerRequest, lane ebonywood.Lane, inTransaction bool) *sink {
+func newSink(caller *conversation, request *callerRequest, lane ebonywood.Lane, inTransaction bool) *sink {
 	return &sink{
-		session: session, request: request, lane: lane, inTransaction: inTransaction,
-		closes: request.closes, start: len(session.output),
+		caller: caller, request: request, lane: lane, inTransaction: inTransaction,
+		closes: request.closes, start: len(caller.output),
 	}
 }
 
@@ -63,15 +63,15 @@
 		sink.failed = true
 		if !sink.relayed && sink.mayMove() && sink.isRefusal(message) {
 			sink.refused = true
-			sink.session.output = sink.session.output[:sink.start]
+			sink.caller.output = sink.caller.output[:sink.start]
 			return nil
 		}
 	}
 	if sink.refused {
 		return nil
 	}
-	sink.session.output = append(sink.session.output, message...)
-	if len(sink.session.output) < flushSize || sink.held && len(sink.session.output) < holdSize {
+	sink.caller.output = append(sink.caller.output, message...)
+	if len(sink.caller.output) < flushSize || sink.held && len(sink.caller.output) < holdSize {
 		return nil
 	}
 	return sink.pass()
@@ -81,7 +81,7 @@
 func (sink *sink) pass() error {
 	sink.relayed = true
 	sink.start = 0
-	return sink.session.flush()
+	return sink.caller.flush()
 }
 
 // answerClose turns the answer to a placeholder into the answer to the Parse that
@@ -129,7 +129,7 @@
 		return nil, err
 	}
 	for {
-		message, err := sink.session.frames.Next()
+		message, err := sink.caller.frames.Next()
 		if err != nil {
 			return nil, err
 		}
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -30,30 +30,30 @@
 
 // startUp serves the messages before the first request and reports whether the
 // session may go on.
-func (each *conversation) startUp(ctx context.Context) bool {
+func (caller *conversation) startUp(ctx context.Context) bool {
 	for {
-		body, err := readStartUp(each.socket)
+		body, err := readStartUp(caller.socket)
 		if err != nil {
-			each.refuse(err)
+			caller.refuse(err)
 			return false
 		}
 		switch binary.BigEndian.Uint32(body) {
 		case sslRequestCode:
-			if !each.upgrade() {
+			if !caller.upgrade() {
 				return false
 			}
 		case gssRequestCode:
-			if _, err := each.socket.Write([]byte{'N'}); err != nil {
+			if _, err := caller.socket.Write([]byte{'N'}); err != nil {
 				return false
 			}
 		case cancelRequestCode:
 			var request pgproto3.CancelRequest
 			if request.Decode(body) == nil {
-				each.edge.cancel(ctx, request.ProcessID, request.SecretKey)
+				caller.edge.cancel(ctx, request.ProcessID, request.SecretKey)
 			}
 			return false
 		default:
-			return each.begin(body)
+			return caller.begin(body)
 		}
 	}
 }
@@ -74,35 +74,35 @@
 	return body, err
 }
 
-func (each *conversation) upgrade() bool {
-	if each.edge.tls == nil {
-		_, err := each.socket.Write([]byte{'N'})
+func (caller *conversation) upgrade() bool {
+	if caller.edge.tls == nil {
+		_, err := caller.socket.Write([]byte{'N'})
 		return err == nil
 	}
-	if _, err := each.socket.Write([]byte{'S'}); err != nil {
+	if _, err := caller.socket.Write([]byte{'S'}); err != nil {
 		return false
 	}
-	each.socket = tls.Server(each.socket, each.edge.tls)
+	caller.socket = tls.Server(caller.socket, caller.edge.tls)
 	return true
 }
 
-func (each *conversation) begin(body []byte) bool {
+func (caller *conversation) begin(body []byte) bool {
 	var message pgproto3.StartupMessage
 	if err := message.Decode(body); err != nil {
-		each.refuse(ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "connect with a PostgreSQL v3 client"))
+		caller.refuse(ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "connect with a PostgreSQL v3 client"))
 		return false
 	}
-	each.frames = frame.NewReader(each.socket)
-	if err := each.authenticate(message.Parameters["user"]); err != nil {
-		each.refuse(err)
+	caller.frames = frame.NewReader(caller.socket)
+	if err := caller.authenticate(message.Parameters["user"]); err != nil {
+		caller.refuse(err)
 		return false
 	}
-	if err := each.open(message.Parameters); err != nil {
-		each.refuse(err)
+	if err := caller.open(message.Parameters); err != nil {
+		caller.refuse(err)
 		return false
 	}
-	secret := binary.BigEndian.AppendUint32(nil, each.secret)
-	each.write(
+	secret := binary.BigEndian.AppendUint32(nil, caller.secret)
+	caller.write(
 		&pgproto3.AuthenticationOk{},
 		&pgproto3.ParameterStatus{Name: "server_version", Value: "16.0"},
 		&pgproto3.ParameterStatus{Name: "server_encoding", Value: "UTF8"},
@@ -110,19 +110,19 @@
 		&pgproto3.ParameterStatus{Name: "DateStyle", Value: "ISO, MDY"},
 		&pgproto3.ParameterStatus{Name: "integer_datetimes", Value: "on"},
 		&pgproto3.ParameterStatus{Name: "standard_conforming_strings", Value: "on"},
-		&pgproto3.BackendKeyData{ProcessID: each.pid, SecretKey: secret},
+		&pgproto3.BackendKeyData{ProcessID: caller.pid, SecretKey: secret},
 		&pgproto3.ReadyForQuery{TxStatus: byte(ebonywood.TxIdle)},
 	)
-	return each.flush() == nil
+	return caller.flush() == nil
 }
 
 // open finds the route and the instance of a caller and sets its first floor.
-func (each *conversation) open(parameters map[string]string) error {
+func (caller *conversation) open(parameters map[string]string) error {
 	user, database := parameters["user"], parameters["database"]
 	if database == "" {
 		database = user
 	}
-	set := each.edge.port.Snapshot().Set()
+	set := caller.edge.port.Snapshot().Set()
 	if set == nil {
 		return ebonywood.NewFault(ebonywood.KindUnavailable, "no object set is in force yet",
 			"publish one with 'ebonywood publish', or wait until this proxy has heard of it")
@@ -136,10 +136,10 @@
 	if err != nil {
 		return err
 	}
-	each.route = route
-	each.instance = chooseInstance(route, parameters)
-	each.state.Attach(at, each.edge.port.Clock().Now())
-	return each.edge.add(each)
+	caller.route = route
+	caller.instance = chooseInstance(route, parameters)
+	caller.state.Attach(at, caller.edge.port.Clock().Now())
+	return caller.edge.add(caller)
 }
 
 // chooseInstance spreads shard keys over the instances of the group.
@@ -166,7 +166,7 @@
 }
 
 // refuse ends a start-up with an error that the caller can show.
-func (each *conversation) refuse(err error) {
-	each.writeFault(ebonywood.FaultOf(err), "FATAL")
-	_ = each.flush()
+func (caller *conversation) refuse(err error) {
+	caller.writeFault(ebonywood.FaultOf(err), "FATAL")
+	_ = caller.flush()
 }
