--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,58 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+func TestMayRepeat(t *testing.T) {
+	cases := []struct {
+		name                         string
+		kind                         ebonywood.Kind
+		inTransaction, safe, relayed bool
+		want                         bool
+	}{
+		{"not run", ebonywood.KindNotRun, false, false, false, true},
+		{"not run, in a transaction", ebonywood.KindNotRun, true, false, false, false},
+		{"unknown and unsafe", ebonywood.KindUnknown, false, false, false, false},
+		{"unknown and safe", ebonywood.KindUnknown, false, true, false, true},
+		{"a part was relayed", ebonywood.KindUnknown, false, true, true, false},
+		{"overload", ebonywood.KindOverload, false, true, false, false},
+		{"stale", ebonywood.KindStale, false, true, false, false},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			require.Equal(t, each.want, MayRepeat(each.kind, each.inTransaction, each.safe, each.relayed))
+		})
+	}
+}
+
+// TestBudgetBoundsRetries lets every request fail: the retries end up a tenth of
+// the requests, besides what was saved.
+func TestBudgetBoundsRetries(t *testing.T) {
+	var budget Budget
+	const requests = 10_000
+	retries := 0
+	for range requests {
+		budget.Earn()
+		if budget.Spend() {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, retries, requests/10+savings)
+	require.Greater(t, retries, requests/20)
+}
+
+func TestPauseGrowsWithJitterToALimit(t *testing.T) {
+	var budget Budget
+	random := rand.New(rand.NewPCG(1, 1))
+	for attempt := range 40 {
+		pause := budget.Pause(attempt, random)
+		require.Positive(t, pause)
+		require.LessOrEqual(t, pause, 2*lastPause)
+	}
+}
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,67 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	primaryID = ebonywood.MemberID("g/a/m0")
+	replicaID = ebonywood.MemberID("g/a/m1")
+)
+
+func at(offset uint64) ebonywood.Position { return ebonywood.NewPosition(2, offset) }
+
+// view has proofs at 1000, 1100 and 1200 for positions 10, 11 and 12.
+func view(applied ebonywood.Position, readable bool) *ebonywood.InstanceView {
+	members := []ebonywood.MemberView{
+		ebonywood.NewMemberView(ebonywood.NewMember(primaryID, "z", "", 3, 20, false), at(12), 1200, 1200, true),
+		ebonywood.NewMemberView(ebonywood.NewMember(replicaID, "z", "", 3, 20, false), applied, 1200, 1200, readable),
+	}
+	proofs := []ebonywood.Proof{
+		ebonywood.NewProof(1000, at(10)), ebonywood.NewProof(1100, at(11)), ebonywood.NewProof(1200, at(12)),
+	}
+	return ebonywood.NewInstanceView("g/a", 2, primaryID, false, members, proofs)
+}
+
+func TestReplicas(t *testing.T) {
+	cases := []struct {
+		name     string
+		applied  ebonywood.Position
+		readable bool
+		maxAge   ebonywood.Millis
+		floor    ebonywood.Floor
+		want     bool
+	}{
+		{"fresh and without a floor", at(12), true, 200, ebonywood.Floor{}, true},
+		{"age proved by an older round", at(11), true, 200, ebonywood.Floor{}, true},
+		{"age not proved", at(10), true, 200, ebonywood.Floor{}, false},
+		{"no proof young enough", at(12), true, 50, ebonywood.Floor{}, false},
+		{"own write missing", at(11), true, 500, ebonywood.NewFloor(at(12), 0, ""), false},
+		{"own write there", at(12), true, 500, ebonywood.NewFloor(at(12), 0, ""), true},
+		{"seen elsewhere since", at(11), true, 500, ebonywood.NewFloor(at(0), 1150, ""), false},
+		{"seen on the same member", at(11), true, 500, ebonywood.NewFloor(at(0), 1150, replicaID), true},
+		{"a later term holds all of an earlier one", ebonywood.NewPosition(3, 5), true, 200, ebonywood.NewFloor(at(12), 0, ""), true},
+		{"former primary", at(12), false, 500, ebonywood.Floor{}, false},
+		{"policy allows the primary only", at(12), true, 0, ebonywood.Floor{}, false},
+	}
+	for _, each := range cases {
+		t.Run(each.name, func(t *testing.T) {
+			policy := ebonywood.NewReadPolicy("p", each.maxAge, ebonywood.StalePrimary)
+			got := New(view(each.applied, each.readable), policy, each.floor, 1300).Replicas()
+			require.Equal(t, each.want, len(got) == 1)
+		})
+	}
+}
+
+// TestConnectionKnowsBetterThanAnOlderStatus covers a replica that was rewound
+// after it answered.
+func TestConnectionKnowsBetterThanAnOlderStatus(t *testing.T) {
+	policy := ebonywood.NewReadPolicy("p", 200, ebonywood.StalePrimary)
+	rule := New(view(at(12), true), policy, ebonywood.Floor{}, 1300)
+	require.True(t, rule.AllowsOver(replicaID, 900, at(5)))
+	require.False(t, rule.AllowsOver(replicaID, 1250, at(5)))
+}
