Go on accepting after a caller could not be accepted

Cause: the measurement with 10,000 callers hung. The process ran out of files, Accept failed, and the caller edge ended with its listener.

Change: only a closed listener ends the edge; any other failure is logged and tried again after 50 ms.

Result: TestAcceptOutlastsTooManyFiles failed before (1 call of Accept).

--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/ebonywood/ebonywood"
@@ -37,6 +38,8 @@
 	startUpLimit = 10 * time.Second
 	// writeLimit bounds one write to a caller that doesn't read.
 	writeLimit = 30 * time.Second
+	// acceptPause follows a caller that could not be accepted.
+	acceptPause = 50 * time.Millisecond
 	// drainPoll is how often a draining edge looks whether all sessions left.
 	drainPoll = 20 * time.Millisecond
 )
@@ -122,9 +125,15 @@
 		if ctx.Err() != nil {
 			return nil
 		}
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return err
 		}
+		if err != nil {
+			// Too many open files and the like pass; those who are connected go on.
+			edge.port.Log().Error(err, "a caller can't be accepted")
+			sleep(ctx, acceptPause)
+			continue
+		}
 		group.Go(func(ctx context.Context) error {
 			// A fault that one caller's input brings out ends that caller only.
 			if caught := panics.Try(func() { edge.serve(ctx, socket) }); caught != nil {
