--- a/internal/site/security_test.go
+++ b/internal/site/security_test.go
@@ -145,3 +145,22 @@
 	defer conn.Close()
 	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
 }
+
+// TestCallersByTLS connects with and without TLS to a proxy that offers it.
+func TestCallersByTLS(t *testing.T) {
+	signer := newAuthority(t)
+	signer.sign(t, 2, "own.pem", "own-key.pem")
+	extra := fmt.Sprintf("callerTLS: {certificate: %q, key: %q}\n",
+		filepath.Join(signer.dir, "own.pem"), filepath.Join(signer.dir, "own-key.pem"))
+	site := startWith(t, 1, extra)
+	for _, mode := range []string{"require", "disable"} {
+		conn, err := pgx.Connect(context.Background(), strings.Replace(site.URL(0), "sslmode=disable", "sslmode="+mode, 1))
+		require.NoError(t, err)
+		_, secured := conn.PgConn().Conn().(*tls.Conn)
+		require.Equal(t, mode == "require", secured)
+		_, err = conn.Exec(context.Background(), "insert into orders (k, v) values ('tls', $1)", mode)
+		require.NoError(t, err)
+		require.NoError(t, conn.Close(context.Background()))
+	}
+	require.ElementsMatch(t, []string{"require", "disable"}, site.Member(site.Primary()).Values("tls"))
+}
