--- a/test/measure/load.go
+++ b/test/measure/load.go
@@ -127,15 +127,24 @@
 
 type events []event
 
+// Len counts the events.
 func (list events) Len() int { return len(list) }
+
+// Less orders by time, then by arrival.
 func (list events) Less(i, j int) bool {
 	if list[i].at != list[j].at {
 		return list[i].at < list[j].at
 	}
 	return list[i].order < list[j].order
 }
-func (list events) Swap(i, j int)  { list[i], list[j] = list[j], list[i] }
+
+// Swap exchanges two events.
+func (list events) Swap(i, j int) { list[i], list[j] = list[j], list[i] }
+
+// Push adds an event.
 func (list *events) Push(item any) { *list = append(*list, item.(event)) }
+
+// Pop removes the last event.
 func (list *events) Pop() (last any) {
 	last, *list = (*list)[len(*list)-1], (*list)[:len(*list)-1]
 	return last
