--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -178,3 +178,53 @@
 		require.Zero(t, refused)
 	}
 }
+
+// TestAbandonedTransactionReachesNobody breaks connections off in the middle of a
+// transaction: what was written there is gone, and the next users of the member's
+// connections are not inside it.
+func TestAbandonedTransactionReachesNobody(t *testing.T) {
+	site := start(t, 1)
+	ctx := context.Background()
+	for range 3 {
+		abandoned, err := pgx.Connect(ctx, site.URL(0))
+		require.NoError(t, err)
+		tx, err := abandoned.Begin(ctx)
+		require.NoError(t, err)
+		_, err = tx.Exec(ctx, "insert into orders (k, v) values ('abandoned', 'v')")
+		require.NoError(t, err)
+		require.NoError(t, abandoned.PgConn().Conn().Close())
+	}
+	time.Sleep(50 * time.Millisecond)
+	next := site.connect(t, 0)
+	for range 10 {
+		_, err := next.Exec(ctx, "insert into orders (k, v) values ('next', 'v')")
+		require.NoError(t, err)
+		require.Equal(t, byte('I'), next.PgConn().TxStatus())
+	}
+	primary := site.Member(site.Primary())
+	require.Len(t, primary.Values("next"), 10)
+	require.Empty(t, primary.Values("abandoned"))
+}
+
+// TestLeavingReplicaGetsNoReads publishes that the replica which reads prefer is
+// leaving.
+func TestLeavingReplicaGetsNoReads(t *testing.T) {
+	site := start(t, 1)
+	conn := site.connect(t, 0)
+	read := func() {
+		_, err := conn.Exec(context.Background(), "select v from orders where k = 'k'")
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool {
+		read()
+		return site.Member(1).Statements() > 10
+	}, 10*time.Second, time.Millisecond)
+	require.NoError(t, site.Publish("m1"))
+	require.NoError(t, site.AwaitReady())
+	before := site.Member(1).Statements()
+	for range 50 {
+		read()
+	}
+	require.Equal(t, before, site.Member(1).Statements())
+	require.Positive(t, site.Member(2).Statements())
+}
