--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -10,9 +10,6 @@
 	"runtime/debug"
 	"syscall"
 
-	"github.com/go-logr/logr"
-	"github.com/go-logr/zerologr"
-	"github.com/rs/zerolog"
 	"github.com/spf13/cobra"
 
 	"github.com/ebonywood/ebonywood"
@@ -74,7 +71,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newProxy(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
+	root.AddCommand(newProxy(), newNode(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
 		newDemo(), newStandin(), newVersion())
 	return root
 }
@@ -93,11 +90,3 @@
 		},
 	}
 }
-
-// newLog writes JSON lines to standard error.
-func newLog(name string) logr.Logger {
-	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	zerologr.NameFieldName = "proxy"
-	line := zerolog.New(os.Stderr).With().Timestamp().Logger()
-	return zerologr.New(&line).WithName(name)
-}
--- /dev/null
+++ b/internal/command/node.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/spf13/cobra"
+
+	"github.com/ebonywood/ebonywood/internal/kernel"
+	"github.com/ebonywood/ebonywood/internal/metrics"
+	"github.com/ebonywood/ebonywood/internal/registry"
+	"github.com/ebonywood/ebonywood/platform"
+	"github.com/ebonywood/ebonywood/platform/settings"
+)
+
+const (
+	// heapShare is the share of the memory limit that the heap may fill before the
+	// collector works harder.
+	heapShare = 0.6
+	// collectAt is how much the heap may grow between two collections, in percent.
+	collectAt  = 200
+	bytesPerMB = 1 << 20
+)
+
+func newNode() *cobra.Command {
+	return &cobra.Command{
+		Use:   "node",
+		Short: "Run a proxy on the platform until it is asked to stop",
+		Long: `Runs one proxy with the settings file that the platform writes; ` + settings.Variable + `
+names it. On SIGTERM the proxy stops being ready, lets what is in flight end and
+leaves. SIGHUP reads the settings file again and logs what it finds.`,
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return runNode(command.Context())
+		},
+	}
+}
+
+func runNode(ctx context.Context) error {
+	read, err := settings.Read(settings.Path())
+	if err != nil {
+		return err
+	}
+	limitRuntime(read)
+	log, stopLog := newBoundedLog(read.Name())
+	defer stopLog()
+	meter := metrics.New()
+	defer meter.Close()
+	proxy, err := kernel.New(read, log, meter, registry.Standard(), platform.Decisions(), platform.Edges())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stopReloads := logReloads(ctx, log)
+	defer stopReloads()
+	log.Info("start", "zone", read.Zone(), "address", read.CallerAddress(), "incarnation", read.Incarnation())
+	err = proxy.Run(ctx)
+	log.Info("stop")
+	return err
+}
+
+func limitRuntime(read settings.Settings) {
+	runtime.GOMAXPROCS(max(1, read.Cores()))
+	debug.SetGCPercent(collectAt)
+	if read.MemoryMB() > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(read.MemoryMB()*bytesPerMB)))
+	}
+}
+
+// logReloads reads the settings file again on SIGHUP. A file with faults changes
+// nothing.
+func logReloads(ctx context.Context, log logr.Logger) (stop func()) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	stopped := make(chan struct{})
+	group := newGroup(ctx)
+	group.Go(func(ctx context.Context) error {
+		defer close(stopped)
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-signals:
+				_, err := settings.Read(settings.Path())
+				if err != nil {
+					log.Error(err, "reload refused")
+					continue
+				}
+				log.Info("reload")
+			}
+		}
+	})
+	return func() {
+		signal.Stop(signals)
+		group.Stop()
+		<-stopped
+	}
+}
--- /dev/null
+++ b/internal/decision/succession/succession.go
@@ -0,0 +1,229 @@
+// Package succession decides who leads each instance where the platform promotes
+// on request: whom this process takes for the primary, when a primary is believed
+// dead, and which member is to follow it.
+//
+// A belief comes from what members accept: a plain transaction that was opened on
+// a member proves that it leads. What members or lists claim is only a hint whom
+// to ask. A primary is dead when a majority of the live proxies can't reach it
+// over fresh connections; one proxy's silence may be its own fault. While the
+// directory is away, reports can't travel, and the holder of the duty goes by its
+// own evidence for longer.
+//
+// Only the holder of the duty orders a promotion. It asks the members for their
+// positions first and takes the one that received most. An order without an
+// answer may take effect later, so the next one carries a greater fencing token.
+package succession
+
+import (
+	"slices"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/registry"
+)
+
+// Name is the plug-in's name.
+const Name = "succession"
+
+func init() {
+	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
+		return New(settings.Name())
+	})
+}
+
+const (
+	// askPeriod is the pause between two questions who leads.
+	askPeriod ebonywood.Millis = 100
+	// holdLimit is how long requests wait for a primary that was just lost.
+	holdLimit ebonywood.Millis = 700
+	// confirmSpan is how long a primary has to be out of reach before the holder
+	// acts on a majority of reports.
+	confirmSpan ebonywood.Millis = 100
+	// aloneSpan is the same while the directory is away.
+	aloneSpan ebonywood.Millis = 1500
+	// leaderlessSpan is how long no member may lead before one is chosen anew.
+	leaderlessSpan ebonywood.Millis = 1500
+	// goneSpan is how long a primary may be missing from the list.
+	goneSpan ebonywood.Millis = 600
+)
+
+// Succession is the decision.
+type Succession struct {
+	self      string
+	instances map[ebonywood.InstanceID]*instance
+	reports   []ebonywood.NodeReport
+	token     int64
+	away      bool
+	announced []ebonywood.MemberID
+}
+
+// New makes the decision of the named proxy.
+func New(self string) *Succession {
+	return &Succession{self: self, instances: map[ebonywood.InstanceID]*instance{}}
+}
+
+// Handle takes one event.
+func (decision *Succession) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
+	switch event := event.(type) {
+	case ebonywood.MembersListed:
+		return decision.list(now, event.Members())
+	case ebonywood.SetAccepted:
+		decision.limit(event.Set())
+	case ebonywood.NodesListed:
+		decision.reports = event.Reports()
+	case ebonywood.DutyChanged:
+		return decision.takeDuty(event)
+	case ebonywood.DirectoryChanged:
+		decision.away = !event.IsReachable()
+	case ebonywood.LeadSeen:
+		return decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.seen(now, event) })
+	case ebonywood.LeadDenied:
+		return decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.denied(now, event) })
+	case ebonywood.ReachChanged:
+		actions := decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.reach(now, event) })
+		return append(actions, decision.announce()...)
+	case ebonywood.StandingSeen:
+		return decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.standing(event) })
+	case ebonywood.PromoteEnded:
+		return decision.with(event.Order().Instance(), func(each *instance) []ebonywood.Action { return each.ended(now, event) })
+	case ebonywood.Tick:
+		return decision.tick(now)
+	}
+	return nil
+}
+
+func (decision *Succession) with(
+	id ebonywood.InstanceID, work func(*instance) []ebonywood.Action,
+) []ebonywood.Action {
+	if each, found := decision.instances[id]; found {
+		return work(each)
+	}
+	return nil
+}
+
+// takeDuty notes the token. What was ordered under an earlier one is begun anew,
+// since the platform refuses it from now on.
+func (decision *Succession) takeDuty(event ebonywood.DutyChanged) []ebonywood.Action {
+	decision.token = 0
+	if event.IsHeld() {
+		decision.token = event.Token()
+	}
+	for _, each := range decision.instances {
+		each.change = nil
+	}
+	return []ebonywood.Action{ebonywood.NewNote("duty", "held", event.IsHeld(), "token", event.Token())}
+}
+
+// list replaces the members of all instances.
+func (decision *Succession) list(now ebonywood.Millis, listed []ebonywood.ListedMember) []ebonywood.Action {
+	byInstance := map[ebonywood.InstanceID][]ebonywood.ListedMember{}
+	for _, each := range listed {
+		byInstance[each.Instance()] = append(byInstance[each.Instance()], each)
+	}
+	for id := range byInstance {
+		if _, known := decision.instances[id]; !known {
+			decision.instances[id] = &instance{id: id, lostAt: now}
+		}
+	}
+	var actions []ebonywood.Action
+	for id, each := range decision.instances {
+		actions = append(actions, each.list(now, byInstance[id])...)
+	}
+	return append(actions, decision.announce()...)
+}
+
+func (decision *Succession) limit(set *ebonywood.ObjectSet) {
+	for _, configured := range set.Instances() {
+		if each, known := decision.instances[configured.ID()]; known {
+			each.syncReplicas = configured.SyncReplicas()
+			continue
+		}
+		decision.instances[configured.ID()] = &instance{id: configured.ID(), syncReplicas: configured.SyncReplicas()}
+	}
+}
+
+// announce reports the primaries that this process can't reach when they change.
+func (decision *Succession) announce() []ebonywood.Action {
+	var suspects []ebonywood.MemberID
+	for _, each := range decision.instances {
+		if each.isPrimaryLost() {
+			suspects = append(suspects, each.primary)
+		}
+	}
+	slices.Sort(suspects)
+	if slices.Equal(suspects, decision.announced) {
+		return nil
+	}
+	decision.announced = suspects
+	return []ebonywood.Action{
+		ebonywood.NewAnnounceSuspects(suspects),
+		ebonywood.NewNote("suspects", "members", suspects),
+	}
+}
+
+func (decision *Succession) tick(now ebonywood.Millis) []ebonywood.Action {
+	var actions []ebonywood.Action
+	for _, each := range decision.instances {
+		actions = append(actions, each.ask(now)...)
+		if decision.token == 0 {
+			continue
+		}
+		if each.change == nil {
+			actions = append(actions, each.begin(now, decision.judge(now, each))...)
+		}
+		if each.change != nil {
+			actions = append(actions, each.advance(now, decision.token)...)
+		}
+	}
+	return append(actions, decision.announce()...)
+}
+
+// judge says why the instance needs another primary; empty if it doesn't.
+func (decision *Succession) judge(now ebonywood.Millis, each *instance) reason {
+	switch {
+	case each.isPrimaryLeaving(now):
+		return reasonLeaving
+	case each.primary == "" && len(each.members) > 0 && now-each.lostAt > leaderlessSpan:
+		return reasonLeaderless
+	case decision.isDead(now, each):
+		return reasonDead
+	default:
+		return reasonNone
+	}
+}
+
+// isDead weighs this process's evidence with that of the other proxies.
+func (decision *Succession) isDead(now ebonywood.Millis, each *instance) bool {
+	if each.primary == "" {
+		return false
+	}
+	lost := each.isPrimaryLost()
+	if decision.away {
+		return lost && now-each.lostAt > aloneSpan && each.reachesOthers()
+	}
+	votes, voters := 0, 0
+	for _, report := range decision.reports {
+		if report.Name() == decision.self {
+			continue
+		}
+		voters++
+		if slices.Contains(report.Suspects(), each.primary) {
+			votes++
+		}
+	}
+	voters++
+	if lost {
+		votes++
+	}
+	if votes*2 <= voters {
+		return false
+	}
+	return !lost || now-each.lostAt > confirmSpan
+}
+
+// Contribute adds what is believed of each instance to the snapshot.
+func (decision *Succession) Contribute(draft *ebonywood.Draft) {
+	for _, each := range decision.instances {
+		draft.AddView(each.view())
+	}
+	draft.SetReports(len(decision.reports))
+}
--- /dev/null
+++ b/internal/edge/directory/mirror.go
@@ -0,0 +1,154 @@
+package directory
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	// watchWait is how long a watch waits for a change.
+	watchWait ebonywood.Millis = 15_000
+	// purgeWait is the same while lapsed entries are kept.
+	purgeWait ebonywood.Millis = 400
+	// watchSlack is added for the way of the answer.
+	watchSlack = 2 * time.Second
+	// lapsedSpan is how long entries that lapsed while the directory was away are
+	// kept after its return; their owners write them anew in that time.
+	lapsedSpan = 2300 * time.Millisecond
+)
+
+// mirror follows the keys under one prefix.
+type mirror struct {
+	edge        *Edge
+	prefix      string
+	tell        func(context.Context, map[string]ebonywood.Item)
+	keepsLapsed bool
+	items       map[string]ebonywood.Item
+	// lapsed are kept entries that the directory does not hold any more.
+	lapsed map[string]bool
+	at     int64
+}
+
+func newMirror(edge *Edge, prefix string, tell func(context.Context, map[string]ebonywood.Item)) *mirror {
+	return &mirror{edge: edge, prefix: prefix, tell: tell, lapsed: map[string]bool{}}
+}
+
+func (mirror *mirror) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if err := mirror.relist(ctx); err != nil {
+			mirror.pause(ctx)
+			continue
+		}
+		for ctx.Err() == nil {
+			err := mirror.follow(ctx)
+			if err == nil {
+				continue
+			}
+			if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
+				mirror.edge.port.Log().Info("history gone", "prefix", mirror.prefix, "at", mirror.at)
+				break
+			}
+			mirror.pause(ctx)
+		}
+	}
+	return nil
+}
+
+func (mirror *mirror) pause(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(retryPause):
+	}
+}
+
+// relist reads everything and compares it with what was believed.
+func (mirror *mirror) relist(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, 2*callLimit)
+	defer cancel()
+	listed, at, err := mirror.edge.port.Directory().List(limited, mirror.prefix)
+	mirror.edge.settled(err)
+	if err != nil {
+		return err
+	}
+	items := make(map[string]ebonywood.Item, len(listed))
+	for _, item := range listed {
+		items[item.Key()] = item
+		delete(mirror.lapsed, item.Key())
+	}
+	for key, item := range mirror.items {
+		if _, found := items[key]; !found && mirror.keeps(item) {
+			items[key] = item
+			mirror.lapsed[key] = true
+		}
+	}
+	mirror.items, mirror.at = items, at
+	mirror.tell(ctx, maps.Clone(items))
+	return nil
+}
+
+// follow takes the next changes.
+func (mirror *mirror) follow(ctx context.Context) error {
+	wait := watchWait
+	if len(mirror.lapsed) > 0 {
+		wait = purgeWait
+	}
+	limited, cancel := context.WithTimeout(ctx, wait.Duration()+watchSlack)
+	defer cancel()
+	changes, at, err := mirror.edge.port.Directory().Changes(limited, mirror.prefix, mirror.at, wait)
+	if ctx.Err() != nil {
+		return nil
+	}
+	mirror.edge.settled(err)
+	if err != nil {
+		return err
+	}
+	mirror.at = max(mirror.at, at)
+	for _, change := range changes {
+		mirror.take(change)
+	}
+	purged := mirror.purge()
+	if len(changes) > 0 || purged {
+		mirror.tell(ctx, maps.Clone(mirror.items))
+	}
+	return nil
+}
+
+func (mirror *mirror) take(change ebonywood.Item) {
+	key := change.Key()
+	known, found := mirror.items[key]
+	switch {
+	case found && known.Revision() > change.Revision():
+	case !change.IsDeleted():
+		mirror.items[key] = change
+		delete(mirror.lapsed, key)
+	case found && mirror.keeps(known):
+		mirror.lapsed[key] = true
+	default:
+		delete(mirror.items, key)
+	}
+}
+
+// keeps reports whether an entry that is gone may only have lapsed while the
+// directory was away.
+func (mirror *mirror) keeps(item ebonywood.Item) bool {
+	if !mirror.keepsLapsed || mirror.edge.returnedFor() > lapsedSpan {
+		return false
+	}
+	entry, err := mirror.edge.port.Directory().DecodeMember(item)
+	return err == nil && !entry.Member().IsLeaving()
+}
+
+// purge drops lapsed entries that did not come back in time.
+func (mirror *mirror) purge() (changed bool) {
+	if len(mirror.lapsed) == 0 || mirror.edge.returnedFor() <= lapsedSpan {
+		return false
+	}
+	for key := range mirror.lapsed {
+		delete(mirror.items, key)
+	}
+	clear(mirror.lapsed)
+	return true
+}
--- /dev/null
+++ b/internal/edge/sessions/pool.go
@@ -0,0 +1,339 @@
+package sessions
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/queue"
+)
+
+const (
+	// dialLimit bounds the opening of a connection for a request.
+	dialLimit = 600 * time.Millisecond
+	// reservedConnections of a member are left for proxies that join.
+	reservedConnections = 2
+	// borrowed is how many connections a proxy may open beyond its share.
+	borrowed = 2
+	// leastConnections is the least share of a proxy.
+	leastConnections = 2
+	// defaultConnections is the cap of a member that names none.
+	defaultConnections = 20
+	// idleLimit is how long a connection beyond the share may lie idle.
+	idleLimit ebonywood.Millis = 3000
+	// crowdedSpan is how long a member that had no connection left isn't asked for
+	// another one.
+	crowdedSpan ebonywood.Millis = 500
+	// laggedSpan is how long a replica that lacked a floor is passed over for
+	// floors that it is not known to hold.
+	laggedSpan ebonywood.Millis = 150
+	// halfLife is how fast a member's observed slowness is forgotten.
+	halfLife = 2000.0
+)
+
+// link is one connection of a pool with what a session has set on it.
+type link struct {
+	conn     ebonywood.MemberConn
+	pool     *pool
+	settings map[string]string
+	names    map[string]struct{}
+	// unclear says that what is set on the connection is not known.
+	unclear bool
+	lastUse ebonywood.Millis
+}
+
+// pool shares the connections to one member among the sessions of this process.
+type pool struct {
+	edge     *Edge
+	instance ebonywood.InstanceID
+	member   ebonywood.Member
+	start    time.Time
+
+	mutex   sync.Mutex
+	queue   *queue.Queue
+	slots   int
+	grants  map[uint64]chan bool
+	tickets uint64
+	idle    []*link
+	open    int
+	leased  int
+	closed  bool
+	// silent says that fresh connections fail, too.
+	silent   bool
+	checking bool
+	// crowded is until when no further connection is tried.
+	crowded ebonywood.Millis
+	known   ebonywood.Position
+	lagged  ebonywood.Millis
+	delay   float64
+	delayAt ebonywood.Millis
+}
+
+func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
+	return &pool{
+		edge: edge, instance: instance, member: member, start: time.Now(),
+		queue: queue.New(leastConnections), slots: leastConnections, grants: map[uint64]chan bool{},
+	}
+}
+
+// lease is a link that works for one session, with its place in the queue.
+type lease struct {
+	*link
+	ticket uint64
+	shape  uint64
+	began  time.Time
+}
+
+// lease waits for a connection until the deadline. Its faults prove that nothing
+// was sent: KindOverload, the wait would be too long; KindUnavailable, the member
+// can't be reached.
+func (pool *pool) lease(route *ebonywood.Route, shape uint64, until time.Time) (*lease, *ebonywood.Fault) {
+	ticket, fault := pool.enter(route, shape, until)
+	if fault != nil {
+		return nil, fault
+	}
+	taken, fault := pool.connect(dialLimit)
+	if fault != nil {
+		pool.mutex.Lock()
+		pool.queue.Done(ticket, 0)
+		pool.leased--
+		pool.grant()
+		pool.mutex.Unlock()
+		return nil, fault
+	}
+	return &lease{link: taken, ticket: ticket, shape: shape, began: time.Now()}, nil
+}
+
+// enter waits for the queue to grant a place.
+func (pool *pool) enter(route *ebonywood.Route, shape uint64, until time.Time) (uint64, *ebonywood.Fault) {
+	expected, known := pool.edge.expect(shape)
+	pool.mutex.Lock()
+	if pool.closed || pool.silent {
+		pool.mutex.Unlock()
+		return 0, pool.unavailable("the member does not answer")
+	}
+	pool.tickets++
+	ticket := pool.tickets
+	now := time.Since(pool.start)
+	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, known, now, until.Sub(pool.start))
+	if !accepted {
+		pool.mutex.Unlock()
+		return 0, pool.overloaded(wait)
+	}
+	granted := make(chan bool, 1)
+	pool.grants[ticket] = granted
+	pool.grant()
+	pool.mutex.Unlock()
+	select {
+	case started := <-granted:
+		if started {
+			return ticket, nil
+		}
+		return 0, pool.overloaded(wait)
+	default:
+	}
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case started := <-granted:
+		if started {
+			return ticket, nil
+		}
+	case <-timer.C:
+		pool.withdraw(ticket)
+	}
+	return 0, pool.overloaded(wait)
+}
+
+func (pool *pool) withdraw(ticket uint64) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	delete(pool.grants, ticket)
+	if !pool.queue.Remove(ticket) {
+		pool.queue.Done(ticket, 0)
+		pool.leased--
+		pool.grant()
+	}
+}
+
+// grant gives free places to what waits; the mutex is held.
+func (pool *pool) grant() {
+	for _, ticket := range pool.queue.Evict(time.Since(pool.start)) {
+		pool.answer(ticket, false)
+	}
+	for {
+		ticket, found := pool.queue.Pop()
+		if !found {
+			return
+		}
+		pool.leased++
+		pool.answer(ticket, true)
+	}
+}
+
+func (pool *pool) answer(ticket uint64, started bool) {
+	if granted, waits := pool.grants[ticket]; waits {
+		granted <- started
+		delete(pool.grants, ticket)
+	}
+}
+
+// connect takes the connection used last, so that others can age, or opens one.
+func (pool *pool) connect(limit time.Duration) (*link, *ebonywood.Fault) {
+	if taken := pool.takeIdle(); taken != nil {
+		return taken, nil
+	}
+	return pool.dial(limit)
+}
+
+func (pool *pool) takeIdle() *link {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	count := len(pool.idle)
+	if count == 0 {
+		return nil
+	}
+	taken := pool.idle[count-1]
+	pool.idle = pool.idle[:count-1]
+	return taken
+}
+
+func (pool *pool) dial(limit time.Duration) (*link, *ebonywood.Fault) {
+	pool.mutex.Lock()
+	if pool.closed {
+		pool.mutex.Unlock()
+		return nil, pool.unavailable("the member was withdrawn")
+	}
+	if pool.crowded > pool.edge.now() {
+		pool.mutex.Unlock()
+		return nil, pool.crowdedFault()
+	}
+	pool.open++
+	pool.mutex.Unlock()
+	conn, at, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, limit)
+	if err == nil {
+		pool.learnPosition(at)
+		return &link{
+			conn: conn, pool: pool, settings: map[string]string{}, names: map[string]struct{}{},
+			lastUse: pool.edge.now(),
+		}, nil
+	}
+	fault := ebonywood.FaultOf(err)
+	pool.mutex.Lock()
+	pool.open--
+	if fault.Kind() == ebonywood.KindOverload {
+		pool.crowded = pool.edge.now() + crowdedSpan
+	}
+	pool.mutex.Unlock()
+	pool.edge.counters.count("dialFailed", fault.Kind().String())
+	if fault.Kind() != ebonywood.KindOverload {
+		pool.suspect()
+	}
+	return nil, fault
+}
+
+// release ends a lease. A broken connection is closed.
+func (pool *pool) release(each *lease, broken bool) {
+	took := time.Since(each.began)
+	pool.mutex.Lock()
+	pool.queue.Done(each.ticket, took)
+	pool.leased--
+	if pool.edge.learn(each.shape, took) {
+		pool.queue.Learned(each.shape, took)
+	}
+	pool.mutex.Unlock()
+	pool.giveBack(each.link, broken)
+	pool.mutex.Lock()
+	pool.grant()
+	pool.mutex.Unlock()
+	if broken {
+		pool.suspect()
+	}
+}
+
+func (pool *pool) giveBack(each *link, broken bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if broken || pool.closed {
+		each.conn.Close()
+		pool.open--
+		return
+	}
+	each.lastUse = pool.edge.now()
+	pool.idle = append(pool.idle, each)
+}
+
+// trim adjusts the pool to its share of the member's connections.
+func (pool *pool) trim(share int) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if slots := share + borrowed; slots != pool.slots {
+		pool.slots = slots
+		pool.queue.Resize(slots)
+		pool.grant()
+	}
+	now := pool.edge.now()
+	for len(pool.idle) > 0 && pool.open > share && now-pool.idle[0].lastUse > idleLimit {
+		pool.idle[0].conn.Close()
+		pool.idle = pool.idle[1:]
+		pool.open--
+	}
+}
+
+func (pool *pool) close() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.closed = true
+	for _, each := range pool.idle {
+		each.conn.Close()
+		pool.open--
+	}
+	pool.idle = nil
+	for ticket := range pool.grants {
+		pool.queue.Remove(ticket)
+		pool.answer(ticket, false)
+	}
+}
+
+// learnPosition takes the end of the member's log as it last told it.
+func (pool *pool) learnPosition(at ebonywood.Position) {
+	if at.IsZero() {
+		return
+	}
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.known = at
+}
+
+// markLagging notes that the member lacked a floor.
+func (pool *pool) markLagging() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.lagged = pool.edge.now()
+}
+
+// learnDelay takes how much longer than expected a read took.
+func (pool *pool) learnDelay(took, expected time.Duration) {
+	excess := max(0, (took-expected).Seconds()*1000)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.delay += 0.15 * (excess - pool.delay)
+	pool.delayAt = pool.edge.now()
+}
+
+func (pool *pool) unavailable(why string) *ebonywood.Fault {
+	return ebonywood.NewFault(ebonywood.KindUnavailable, fmt.Sprintf("%s: %s", pool.member.ID(), why),
+		"send the request again; it was not run")
+}
+
+func (pool *pool) overloaded(wait time.Duration) *ebonywood.Fault {
+	return ebonywood.NewFault(ebonywood.KindOverload,
+		fmt.Sprintf("the predicted wait for %s is %d ms", pool.member.ID(), wait.Milliseconds()),
+		"send the request again; it was not run")
+}
+
+func (pool *pool) crowdedFault() *ebonywood.Fault {
+	return ebonywood.NewFault(ebonywood.KindOverload, fmt.Sprintf("%s has no connection left", pool.member.ID()),
+		"send the request again; it was not run")
+}
--- /dev/null
+++ b/internal/edge/sessions/pulse.go
@@ -0,0 +1,254 @@
+package sessions
+
+import (
+	"context"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	// pulsePeriod is how often the edge looks after samples and pools.
+	pulsePeriod = 100 * time.Millisecond
+	// sampleSpan is the age at which an instance in use gets another sample, and
+	// idleSampleSpan the same for one that no caller needs.
+	sampleSpan     ebonywood.Millis = 250
+	idleSampleSpan ebonywood.Millis = 1000
+	// inUse is how long after a statement an instance counts as in use.
+	inUse ebonywood.Millis = 5000
+	// askLimit bounds a question over a connection that stands.
+	askLimit = 300 * time.Millisecond
+	// checkLimit bounds the opening of a connection that only asks whether the
+	// member lives.
+	checkLimit = 400 * time.Millisecond
+	// checkPause is the time between two such attempts.
+	checkPause = 150 * time.Millisecond
+	// standingLimit bounds the asking for a standing, refusals included.
+	standingLimit = 220 * time.Millisecond
+	// standingPause follows a refusal for lack of a slot.
+	standingPause = 15 * time.Millisecond
+)
+
+// pulse keeps samples young, which is also how a primary that died is noticed
+// without traffic, and keeps pools at their share.
+func (edge *Edge) pulse(ctx context.Context) error {
+	ticker := time.NewTicker(pulsePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			edge.lookAfter()
+		}
+	}
+}
+
+func (edge *Edge) lookAfter() {
+	snapshot := edge.port.Snapshot()
+	set := snapshot.Set()
+	if set == nil {
+		return
+	}
+	listed := map[ebonywood.MemberID]bool{}
+	for _, configured := range set.Instances() {
+		view, found := snapshot.View(configured.ID())
+		if !found {
+			continue
+		}
+		edge.refresh(view)
+		share := share(configured.Connections(), snapshot.Reports())
+		for _, each := range view.Members() {
+			listed[each.Member().ID()] = true
+			edge.pool(view.ID(), each.Member()).trim(share)
+		}
+	}
+	edge.dropUnlisted(listed)
+}
+
+// share is how many connections to one member this process may keep.
+func share(connections, proxies int) int {
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	return max(leastConnections, (connections-reservedConnections)/max(1, proxies))
+}
+
+// dropUnlisted closes the pools of members that are gone.
+func (edge *Edge) dropUnlisted(listed map[ebonywood.MemberID]bool) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for id, pool := range edge.pools {
+		if !listed[id] {
+			pool.close()
+			delete(edge.pools, id)
+		}
+	}
+}
+
+// refresh asks the primary for a sample if the newest one is too old.
+func (edge *Edge) refresh(view *ebonywood.InstanceView) {
+	primary, found := view.Member(view.Primary())
+	if !found {
+		return
+	}
+	known := edge.leader(view.ID())
+	now := edge.now()
+	known.mutex.Lock()
+	newest, any := known.samples.Newest()
+	span := idleSampleSpan
+	if now-known.used < inUse {
+		span = sampleSpan
+	}
+	due := !known.asking && (!any || now-newest >= span)
+	known.asking = known.asking || due
+	known.mutex.Unlock()
+	if !due {
+		return
+	}
+	edge.group.Go(func(context.Context) error {
+		edge.pool(view.ID(), primary.Member()).askLead()
+		known.mutex.Lock()
+		known.asking = false
+		known.mutex.Unlock()
+		return nil
+	})
+}
+
+// askLead opens a plain transaction on the member and ends it, which proves
+// whether the member leads.
+func (pool *pool) askLead() {
+	each, fault := pool.connect(checkLimit)
+	if fault != nil {
+		return
+	}
+	asked := pool.edge.now()
+	replies, err := each.conn.Exchange([]ebonywood.Statement{
+		ebonywood.NewOwnStatement(ebonywood.VerbBegin, "", ""),
+		ebonywood.NewOwnStatement(ebonywood.VerbRollback, "", ""),
+	}, askLimit)
+	pool.giveBack(each, err != nil)
+	if err != nil {
+		pool.suspect()
+		return
+	}
+	pool.learnPosition(replies[0].Position())
+	switch replies[0].Code() {
+	case ebonywood.CodeDone:
+		pool.edge.note(pool, asked, replies[0].Position())
+	case ebonywood.CodeReadOnly:
+		pool.edge.deny(pool)
+	}
+}
+
+// askStanding asks the member for its account of itself until it has a slot for
+// the question.
+func (pool *pool) askStanding() {
+	until := time.Now().Add(standingLimit)
+	for {
+		standing, fault := pool.standing(time.Until(until))
+		if fault == nil || fault.Kind() != ebonywood.KindOverload || time.Now().Add(standingPause).After(until) {
+			pool.edge.post(ebonywood.NewStandingSeen(pool.instance, pool.member.ID(), standing, fault))
+			return
+		}
+		time.Sleep(standingPause)
+	}
+}
+
+func (pool *pool) standing(limit time.Duration) (ebonywood.Standing, *ebonywood.Fault) {
+	each, fault := pool.connect(limit)
+	if fault != nil {
+		return ebonywood.Standing{}, fault
+	}
+	standing, err := each.conn.Standing(limit)
+	if err == nil {
+		pool.giveBack(each, false)
+		return standing, nil
+	}
+	fault = ebonywood.FaultOf(err)
+	refused := fault.Kind() == ebonywood.KindOverload
+	pool.giveBack(each, !refused)
+	if !refused {
+		pool.suspect()
+	}
+	return ebonywood.Standing{}, fault
+}
+
+// demote asks the member to stop leading below term.
+func (pool *pool) demote(term ebonywood.Term) {
+	each, fault := pool.connect(checkLimit)
+	if fault != nil {
+		return
+	}
+	_, err := each.conn.Exchange([]ebonywood.Statement{demotion(term)}, askLimit)
+	pool.giveBack(each, err != nil)
+}
+
+// suspect finds out over fresh connections whether a member still answers after
+// one of its connections failed.
+func (pool *pool) suspect() {
+	pool.mutex.Lock()
+	begin := !pool.checking && !pool.closed
+	pool.checking = pool.checking || begin
+	pool.mutex.Unlock()
+	if begin {
+		pool.edge.group.Go(pool.check)
+	}
+}
+
+func (pool *pool) check(ctx context.Context) error {
+	for ctx.Err() == nil {
+		reached, done := pool.tryReach()
+		pool.setSilent(!reached)
+		if done {
+			break
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(checkPause):
+		}
+	}
+	pool.mutex.Lock()
+	pool.checking = false
+	pool.mutex.Unlock()
+	return nil
+}
+
+// tryReach opens one connection; done says that no further attempt is needed.
+func (pool *pool) tryReach() (reached, done bool) {
+	conn, at, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, checkLimit)
+	pool.mutex.Lock()
+	closed := pool.closed
+	pool.mutex.Unlock()
+	if err != nil {
+		reached = ebonywood.FaultOf(err).Kind() == ebonywood.KindOverload
+		return reached, reached || closed
+	}
+	pool.learnPosition(at)
+	pool.mutex.Lock()
+	pool.open++
+	pool.mutex.Unlock()
+	pool.giveBack(&link{
+		conn: conn, pool: pool, settings: map[string]string{}, names: map[string]struct{}{},
+	}, false)
+	return true, true
+}
+
+// setSilent notes whether fresh connections fail, and tells the control loop when
+// that changed.
+func (pool *pool) setSilent(silent bool) {
+	pool.mutex.Lock()
+	changed := pool.silent != silent && !pool.closed
+	pool.silent = silent
+	if changed && silent {
+		for _, each := range pool.idle {
+			each.conn.Close()
+			pool.open--
+		}
+		pool.idle = nil
+	}
+	pool.mutex.Unlock()
+	if changed {
+		pool.edge.post(ebonywood.NewReachChanged(pool.instance, pool.member.ID(), !silent))
+	}
+}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -33,7 +33,6 @@
 
 const (
 	eventBacklog = 4096
-	tickPeriod   = 10 * time.Millisecond
 	// exitViolated is the exit code of a process that strict checking ended.
 	exitViolated = 70
 	// strictVariable makes a violated invariant end the process.
@@ -51,6 +50,9 @@
 	decisions []ebonywood.Decision
 	edges     []ebonywood.Edge
 	lanes     ebonywood.Lanes
+	sessions  ebonywood.Sessions
+	dialer    ebonywood.Dialer
+	directory ebonywood.Directory
 	checker   invariant.Checker
 	levels    burn.Ledger
 	inForce   uint64
@@ -109,6 +111,15 @@
 	if lanes, offers := edge.(ebonywood.Lanes); offers {
 		kernel.lanes = lanes
 	}
+	if sessions, offers := edge.(ebonywood.Sessions); offers {
+		kernel.sessions = sessions
+	}
+	if dialer, offers := edge.(ebonywood.Dialer); offers {
+		kernel.dialer = dialer
+	}
+	if directory, offers := edge.(ebonywood.Directory); offers {
+		kernel.directory = directory
+	}
 	return nil
 }
 
@@ -148,7 +159,7 @@
 }
 
 func (kernel *Kernel) tick(ctx context.Context) error {
-	ticker := time.NewTicker(tickPeriod)
+	ticker := time.NewTicker(kernel.settings.TickPeriod().Duration())
 	defer ticker.Stop()
 	for {
 		select {
@@ -199,6 +210,10 @@
 		kernel.handle(ebonywood.NewOwnersChanged(announce.Owners()))
 		return
 	}
+	if note, ok := action.(ebonywood.Note); ok {
+		kernel.log.Info(note.Message(), note.Details()...)
+		return
+	}
 	for _, edge := range kernel.edges {
 		if edge.Perform(action) {
 			return
@@ -293,3 +308,12 @@
 
 // Lanes is the target side.
 func (kernel *Kernel) Lanes() ebonywood.Lanes { return kernel.lanes }
+
+// Sessions opens sessions.
+func (kernel *Kernel) Sessions() ebonywood.Sessions { return kernel.sessions }
+
+// Dialer opens connections to members.
+func (kernel *Kernel) Dialer() ebonywood.Dialer { return kernel.dialer }
+
+// Directory is the outside directory.
+func (kernel *Kernel) Directory() ebonywood.Directory { return kernel.directory }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -249,3 +249,6 @@
 	}
 	return total / time.Duration(queue.available())
 }
+
+// Resize changes the number of slots. Work that runs beyond it ends by itself.
+func (queue *Queue) Resize(slots int) { queue.slots = slots }
--- a/internal/settingsfile/settingsfile.go
+++ b/internal/settingsfile/settingsfile.go
@@ -18,6 +18,8 @@
 	defaultStatusPeriod   ebonywood.Millis = 50
 	defaultPrimarySilence ebonywood.Millis = 400
 	defaultMaxCallers                      = 20_000
+	// tickPeriod paces status rounds, probes and the steps of a change.
+	tickPeriod ebonywood.Millis = 10
 )
 
 // Settings are checked settings. The zero value has no addresses, so it starts
@@ -214,3 +216,6 @@
 
 // DrainLimit bounds a graceful shutdown; 0 waits for every caller's transaction.
 func (settings Settings) DrainLimit() ebonywood.Millis { return settings.drainLimit }
+
+// TickPeriod is how often decisions look at the time.
+func (settings Settings) TickPeriod() ebonywood.Millis { return tickPeriod }
--- a/object.go
+++ b/object.go
@@ -36,8 +36,10 @@
 
 // Instance is one primary with its replicas; who is primary is not configured.
 type Instance struct {
-	id      InstanceID
-	members []Member
+	id           InstanceID
+	members      []Member
+	connections  int
+	syncReplicas int
 }
 
 // NewInstance makes an instance.
@@ -45,6 +47,22 @@
 	return Instance{id: id, members: members}
 }
 
+// WithLimits returns the instance with what holds for each of its members:
+// connections is how many each accepts, syncReplicas how many replicas hold a
+// commit before it is acknowledged.
+func (instance Instance) WithLimits(connections, syncReplicas int) Instance {
+	instance.connections = connections
+	instance.syncReplicas = syncReplicas
+	return instance
+}
+
+// Connections is how many connections each member accepts; 0 if each member
+// says so itself.
+func (instance Instance) Connections() int { return instance.connections }
+
+// SyncReplicas is how many replicas hold a commit before it is acknowledged.
+func (instance Instance) SyncReplicas() int { return instance.syncReplicas }
+
 // ID names the instance.
 func (instance Instance) ID() InstanceID { return instance.id }
 
@@ -167,14 +185,35 @@
 	content    []byte
 	instances  []Instance
 	routes     []*Route
+	// byDatabase finds the routes of a database.
+	byDatabase map[string][]*Route
+	txIdle     Millis
 }
 
 // NewObjectSet makes a set. content is the published text and hash its name in
 // the store.
 func NewObjectSet(generation uint64, hash string, content []byte, instances []Instance, routes []*Route) *ObjectSet {
-	return &ObjectSet{generation: generation, hash: hash, content: content, instances: instances, routes: routes}
+	byDatabase := make(map[string][]*Route, len(routes))
+	for _, route := range routes {
+		byDatabase[route.database] = append(byDatabase[route.database], route)
+	}
+	return &ObjectSet{
+		generation: generation, hash: hash, content: content, instances: instances, routes: routes,
+		byDatabase: byDatabase,
+	}
+}
+
+// WithTransactionIdle returns the set with the span after which an idle
+// transaction is rolled back; 0 never does.
+func (set *ObjectSet) WithTransactionIdle(span Millis) *ObjectSet {
+	changed := *set
+	changed.txIdle = span
+	return &changed
 }
 
+// TransactionIdle is the span after which an idle transaction is rolled back.
+func (set *ObjectSet) TransactionIdle() Millis { return set.txIdle }
+
 // Generation orders the accepted sets.
 func (set *ObjectSet) Generation() uint64 { return set.generation }
 
@@ -204,10 +243,7 @@
 // that matches all.
 func (set *ObjectSet) Route(user, database string) (*Route, bool) {
 	var fallback *Route
-	for _, route := range set.routes {
-		if route.database != database {
-			continue
-		}
+	for _, route := range set.byDatabase[database] {
 		if route.user == user {
 			return route, true
 		}
--- a/plugin.go
+++ b/plugin.go
@@ -50,6 +50,12 @@
 	Settings() Settings
 	// Lanes is the target side; nil in a process without a target edge.
 	Lanes() Lanes
+	// Sessions opens sessions; nil in a process without a session edge.
+	Sessions() Sessions
+	// Dialer opens connections to members; nil in a process without one.
+	Dialer() Dialer
+	// Directory is the outside directory; nil in a process without one.
+	Directory() Directory
 }
 
 // Levels keeps the account of the service levels that routes promise.
@@ -87,6 +93,8 @@
 	PrimarySilence() Millis
 	MaxCallers() int
 	DrainLimit() Millis
+	// TickPeriod is how often decisions look at the time.
+	TickPeriod() Millis
 }
 
 // DecisionFactory builds a decision for a process.
--- a/snapshot.go
+++ b/snapshot.go
@@ -56,6 +56,7 @@
 	held    bool
 	members []MemberView
 	proofs  []Proof
+	lostAt  Millis
 }
 
 // NewInstanceView makes a view. primary is empty while none is known; held says
@@ -64,6 +65,18 @@
 	return &InstanceView{id: id, term: term, primary: primary, held: held, members: members, proofs: proofs}
 }
 
+// LostAt returns the view with the time since when its primary is unknown or out
+// of reach; 0 while it is there.
+func (view *InstanceView) LostAt(since Millis) *InstanceView {
+	changed := *view
+	changed.lostAt = since
+	return &changed
+}
+
+// PrimaryLostAt is since when the primary is unknown or out of reach; 0 while it
+// is there.
+func (view *InstanceView) PrimaryLostAt() Millis { return view.lostAt }
+
 // ID names the instance.
 func (view *InstanceView) ID() InstanceID { return view.id }
 
@@ -102,8 +115,12 @@
 	owners   *Owners
 	news     []PeerUpdate
 	hosts    HostsSeen
+	reports  int
 }
 
+// Reports is how many proxies report to the directory, this one included.
+func (snapshot *Snapshot) Reports() int { return snapshot.reports }
+
 // Set is the object set in force; nil before the first one.
 func (snapshot *Snapshot) Set() *ObjectSet { return snapshot.set }
 
@@ -177,6 +194,9 @@
 // SetHosts sets the newest list of hosts.
 func (draft *Draft) SetHosts(hosts HostsSeen) { draft.snapshot.hosts = hosts }
 
+// SetReports sets how many proxies report to the directory.
+func (draft *Draft) SetReports(count int) { draft.snapshot.reports = count }
+
 // SetNews sets what is to be passed on; not to be changed later.
 func (draft *Draft) SetNews(news []PeerUpdate) { draft.snapshot.news = news }
 
