Follow changes with short watches; prove freshness across a rollback

Ruled out by debug lines of a trial: a revision skipped by 'at', a 410 that was not taken as such. Now each mirror waits 1.5 to 3 s.

A successor's first samples are shorter than those of the primary it rolled back, and were dropped, so that no read had a floor that any member holds. Samples are clamped now; a read that every member refuses as lagging runs on the primary in a plain transaction. Reads and the opening of transactions are given up as soon as the member is known to be out of reach.

--- a/internal/decision/succession/change.go
+++ b/internal/decision/succession/change.go
@@ -11,9 +11,6 @@
 	leadSpan ebonywood.Millis = 1500
 	// refusedPause follows an order that the platform refused.
 	refusedPause ebonywood.Millis = 200
-	// catchUpSpan is how long a successor may take to receive what the leaving
-	// primary has committed.
-	catchUpSpan ebonywood.Millis = 400
 )
 
 // phase is how far a change of primary has come.
--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -30,7 +30,6 @@
 	missingAt ebonywood.Millis
 	asked     ebonywood.Millis
 	change    *change
-	held      bool
 	// cached is the view last published; nil when something changed since.
 	cached *ebonywood.InstanceView
 }
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -33,8 +33,6 @@
 const (
 	// askPeriod is the pause between two questions who leads.
 	askPeriod ebonywood.Millis = 100
-	// holdLimit is how long requests wait for a primary that was just lost.
-	holdLimit ebonywood.Millis = 700
 	// confirmSpan is how long a primary has to be out of reach before the holder
 	// acts on a majority of reports.
 	confirmSpan ebonywood.Millis = 100
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -95,10 +95,10 @@
 // wait for it to lapse.
 func (edge *Edge) Run(ctx context.Context) error {
 	directory := edge.port.Directory()
-	configuration := newMirror(edge, directory.ConfigurationKey(), edge.configure)
-	members := newMirror(edge, directory.MemberPrefix(), edge.list)
+	configuration := newMirror(edge, directory.ConfigurationKey(), configurationWait, edge.configure)
+	members := newMirror(edge, directory.MemberPrefix(), memberWait, edge.list)
 	members.keepsLapsed = true
-	own := newMirror(edge, ownPrefix, edge.takeOwn)
+	own := newMirror(edge, ownPrefix, ownWait, edge.takeOwn)
 	edge.group.Go(configuration.run)
 	edge.group.Go(members.run)
 	edge.group.Go(own.run)
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -9,12 +9,16 @@
 )
 
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait ebonywood.Millis = 15_000
+	// The waits of a watch for a change. A watch may be left without an answer while
+	// changes are made, so each is well below the time in which a change has to be
+	// in force.
+	configurationWait ebonywood.Millis = 1500
+	memberWait        ebonywood.Millis = 2000
+	ownWait           ebonywood.Millis = 3000
 	// purgeWait is the same while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
 	// watchSlack is added for the way of the answer.
-	watchSlack = 2 * time.Second
+	watchSlack = 600 * time.Millisecond
 	// lapsedSpan is how long entries that lapsed while the directory was away are
 	// kept after its return; their owners write them anew in that time.
 	lapsedSpan = 2300 * time.Millisecond
@@ -25,6 +29,7 @@
 	edge        *Edge
 	prefix      string
 	tell        func(context.Context, map[string]ebonywood.Item)
+	wait        ebonywood.Millis
 	keepsLapsed bool
 	items       map[string]ebonywood.Item
 	// lapsed are kept entries that the directory does not hold any more.
@@ -32,8 +37,10 @@
 	at     int64
 }
 
-func newMirror(edge *Edge, prefix string, tell func(context.Context, map[string]ebonywood.Item)) *mirror {
-	return &mirror{edge: edge, prefix: prefix, tell: tell, lapsed: map[string]bool{}}
+func newMirror(
+	edge *Edge, prefix string, wait ebonywood.Millis, tell func(context.Context, map[string]ebonywood.Item),
+) *mirror {
+	return &mirror{edge: edge, prefix: prefix, wait: wait, tell: tell, lapsed: map[string]bool{}}
 }
 
 func (mirror *mirror) run(ctx context.Context) error {
@@ -91,7 +98,7 @@
 
 // follow takes the next changes.
 func (mirror *mirror) follow(ctx context.Context) error {
-	wait := watchWait
+	wait := mirror.wait
 	if len(mirror.lapsed) > 0 {
 		wait = purgeWait
 	}
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -28,11 +28,6 @@
 	lostRead
 )
 
-// isBroken reports whether the connection is of no more use.
-func (verdict verdict) isBroken() bool {
-	return verdict == lostBefore || verdict == lost || verdict == lostRead
-}
-
 // judge reads a member's reply.
 func judge(reply ebonywood.Reply) verdict {
 	switch reply.Code() {
--- a/internal/edge/sessions/link.go
+++ b/internal/edge/sessions/link.go
@@ -71,6 +71,26 @@
 	return false
 }
 
+// runRepeatable is run for what may be given up as soon as the member is known to
+// be out of reach.
+func (each *link) runRepeatable(
+	ahead []ebonywood.Statement, limit time.Duration, statements ...ebonywood.Statement,
+) ([]ebonywood.Reply, error) {
+	each.setRepeatable(true)
+	defer each.setRepeatable(false)
+	return each.run(ahead, limit, statements...)
+}
+
+func (each *link) setRepeatable(repeatable bool) {
+	each.pool.mutex.Lock()
+	defer each.pool.mutex.Unlock()
+	if repeatable {
+		each.pool.working[each] = struct{}{}
+	} else {
+		delete(each.pool.working, each)
+	}
+}
+
 // run sends what has to go ahead and the statements behind it in one write, and
 // returns the replies of the latter. After an error the connection is of no use.
 func (each *link) run(
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -56,6 +56,9 @@
 	grants  map[uint64]chan bool
 	tickets uint64
 	idle    []*link
+	// working are the links whose exchange may be given up, because it can be run
+	// elsewhere.
+	working map[*link]struct{}
 	open    int
 	leased  int
 	closed  bool
@@ -74,6 +77,7 @@
 	return &pool{
 		edge: edge, instance: instance, member: member, start: time.Now(),
 		queue: queue.New(leastConnections), slots: leastConnections, grants: map[uint64]chan bool{},
+		working: map[*link]struct{}{},
 	}
 }
 
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -246,6 +246,9 @@
 			pool.open--
 		}
 		pool.idle = nil
+		for each := range pool.working {
+			each.conn.Interrupt()
+		}
 	}
 	pool.mutex.Unlock()
 	if changed {
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -24,16 +24,28 @@
 func (session *session) read(
 	statement ebonywood.Statement, view *ebonywood.InstanceView, each *attempt,
 ) ebonywood.Reply {
-	return session.onReader(view, each, func(lease *lease) (ebonywood.Reply, verdict) {
+	reply := session.onReader(view, each, func(lease *lease) (ebonywood.Reply, verdict) {
 		expected, _ := session.edge.expect(lease.shape)
 		began := time.Now()
-		replies, err := lease.run(lease.ahead(session, each.shared), each.left(), statement.After(each.floor))
+		replies, err := lease.runRepeatable(lease.ahead(session, each.shared), each.left(), statement.After(each.floor))
 		if err != nil {
 			return session.brokenRead(err, each), lostRead
 		}
 		lease.pool.learnDelay(time.Since(began), expected)
 		return replies[0], judge(replies[0])
 	})
+	if reply.Code() == ebonywood.CodeLagging {
+		return session.strictRead(statement, each)
+	}
+	return reply
+}
+
+// lowerFloor takes the primary's word for the session's floor: commits of the
+// session beyond it were rolled back by a promotion.
+func (session *session) lowerFloor(at ebonywood.Position) {
+	if !at.IsZero() && at.Less(session.floor) {
+		session.floor = at
+	}
 }
 
 // onReader runs work on members that may hold the floor, each once, the one with
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -16,6 +16,8 @@
 	busyPause = 12 * time.Millisecond
 	// triesLimit bounds the members that one statement is offered to.
 	triesLimit = 6
+	// beginLimit bounds the opening of a transaction, which needs no slot.
+	beginLimit = 400 * time.Millisecond
 	// defaultTimeout bounds statements of routes that name no deadline.
 	defaultTimeout = time.Second
 )
@@ -236,7 +238,7 @@
 		if reply.Code() != ebonywood.CodeDone || outcome == lost {
 			return reply, outcome
 		}
-		replies, err := lease.run(nil, each.left(), statement, rollback)
+		replies, err := lease.runRepeatable(nil, each.left(), statement, rollback)
 		if err != nil {
 			return session.brokenRead(err, each), lostRead
 		}
@@ -247,12 +249,13 @@
 // open begins a transaction on the connection.
 func (session *session) open(lease *lease, each *attempt, begin ebonywood.Statement) (ebonywood.Reply, verdict) {
 	asked := session.edge.now()
-	replies, err := lease.run(lease.ahead(session, each.shared), each.left(), begin)
+	replies, err := lease.runRepeatable(lease.ahead(session, each.shared), min(each.left(), beginLimit), begin)
 	if err != nil {
 		return failure(ebonywood.CodeBusy, "the connection failed before the statement was sent: "+err.Error()), lostBefore
 	}
 	if replies[0].Code() == ebonywood.CodeDone && begin.Verb() == ebonywood.VerbBegin {
 		session.edge.note(lease.pool, asked, replies[0].Position())
+		session.lowerFloor(replies[0].Position())
 	}
 	return replies[0], judge(replies[0])
 }
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -131,10 +131,15 @@
 		})
 	}
 	each.asked = tx.began
-	return session.onReader(tx.view, each, func(lease *lease) (ebonywood.Reply, verdict) {
+	reply := session.onReader(tx.view, each, func(lease *lease) (ebonywood.Reply, verdict) {
 		reply, outcome := session.open(lease, each, reading.After(each.floor))
 		return reply, session.hold(lease, reply, outcome)
 	})
+	if reply.Code() == ebonywood.CodeLagging {
+		tx.readOnly = false
+		return session.take(each)
+	}
+	return reply
 }
 
 // hold keeps the lease for the transaction if it was opened.
--- a/internal/freshness/freshness.go
+++ b/internal/freshness/freshness.go
@@ -34,9 +34,10 @@
 func (samples *Samples) Add(asked ebonywood.Millis, at ebonywood.Position) {
 	if count := len(samples.samples); count > 0 {
 		last := &samples.samples[count-1]
-		if asked < last.asked || at.Less(last.at) {
+		if asked < last.asked {
 			return
 		}
+		samples.clamp(at)
 		if count > 1 && asked-samples.samples[count-2].asked < spacing {
 			*last = sample{asked: asked, at: at}
 			return
@@ -48,6 +49,15 @@
 	samples.samples = append(samples.samples, sample{asked: asked, at: at})
 }
 
+// clamp lowers the positions above at. A later sample that is shorter comes from a
+// successor that rolled back the rest, or from a question that was answered first;
+// either way it covers all that counts.
+func (samples *Samples) clamp(at ebonywood.Position) {
+	for i := len(samples.samples) - 1; i >= 0 && at.Less(samples.samples[i].at); i-- {
+		samples.samples[i].at = at
+	}
+}
+
 // Floor is the least position that covers every commit acknowledged before
 // oldest; found is false when no sample is young enough.
 func (samples *Samples) Floor(oldest ebonywood.Millis) (at ebonywood.Position, found bool) {
--- a/statement.go
+++ b/statement.go
@@ -201,6 +201,8 @@
 	Exchange(statements []Statement, limit time.Duration) ([]Reply, error)
 	// Standing asks the member for its account of itself, within the limit.
 	Standing(limit time.Duration) (Standing, error)
+	// Interrupt makes an exchange that waits fail at once; any goroutine may call it.
+	Interrupt()
 	Close()
 }
 
