Send callers elsewhere when cut off; share connections when crowded

One node that held an old fencing token ordered again and again with it; a token that was refused is not used again. A member that has no connection left makes waiting requests share those that stand, and a proxy that has just begun guesses how many others there are. A process ends itself 300 ms before the platform would kill it.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
@@ -25,6 +26,8 @@
 	// collectAt is how much the heap may grow between two collections, in percent.
 	collectAt  = 200
 	bytesPerMB = 1 << 20
+	// graceMargin is left of the grace when the process ends itself.
+	graceMargin = 300 * time.Millisecond
 )
 
 func newNode() *cobra.Command {
@@ -57,6 +60,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	stopGrace := boundGrace(ctx, read, log)
+	defer stopGrace()
 	stopReloads := logReloads(ctx, log)
 	defer stopReloads()
 	log.Info("start", "zone", read.Zone(), "address", read.CallerAddress(), "incarnation", read.Incarnation())
@@ -73,6 +78,18 @@
 	}
 }
 
+// boundGrace ends the process just before the platform would kill it, whatever
+// still waits for an answer then.
+func boundGrace(ctx context.Context, read settings.Settings, log logr.Logger) (stop func() bool) {
+	return context.AfterFunc(ctx, func() {
+		time.AfterFunc(read.DrainLimit().Duration()-graceMargin, func() {
+			log.Info("grace over")
+			time.Sleep(graceMargin / 2)
+			os.Exit(exitDone)
+		})
+	})
+}
+
 // logReloads reads the settings file again on SIGHUP. A file with faults changes
 // nothing.
 func logReloads(ctx context.Context, log logr.Logger) (stop func()) {
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -40,6 +40,9 @@
 	aloneSpan ebonywood.Millis = 1500
 	// leaderlessSpan is how long no member may lead before one is chosen anew.
 	leaderlessSpan ebonywood.Millis = 1500
+	// isolatedSpan is how long the directory and a primary must have been out of
+	// reach before callers are sent elsewhere.
+	isolatedSpan ebonywood.Millis = 1000
 	// goneSpan is how long a primary may be missing from the list.
 	goneSpan ebonywood.Millis = 600
 )
@@ -50,7 +53,11 @@
 	instances map[ebonywood.InstanceID]*instance
 	reports   []ebonywood.NodeReport
 	token     int64
+	// refused is a token that the platform does not accept any more.
+	refused   int64
 	away      bool
+	awaySince ebonywood.Millis
+	isolated  bool
 	announced []ebonywood.MemberID
 }
 
@@ -65,13 +72,13 @@
 	case ebonywood.MembersListed:
 		return decision.list(now, event.Members())
 	case ebonywood.SetAccepted:
-		decision.limit(event.Set())
+		decision.limit(now, event.Set())
 	case ebonywood.NodesListed:
 		decision.reports = event.Reports()
 	case ebonywood.DutyChanged:
 		return decision.takeDuty(event)
 	case ebonywood.DirectoryChanged:
-		decision.away = !event.IsReachable()
+		decision.away, decision.awaySince = !event.IsReachable(), now
 	case ebonywood.LeadSeen:
 		return decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.seen(now, event) })
 	case ebonywood.LeadDenied:
@@ -82,7 +89,7 @@
 	case ebonywood.StandingSeen:
 		return decision.with(event.Instance(), func(each *instance) []ebonywood.Action { return each.standing(event) })
 	case ebonywood.PromoteEnded:
-		return decision.with(event.Order().Instance(), func(each *instance) []ebonywood.Action { return each.ended(now, event) })
+		return decision.ended(now, event)
 	case ebonywood.Tick:
 		return decision.tick(now)
 	}
@@ -129,13 +136,13 @@
 	return append(actions, decision.announce()...)
 }
 
-func (decision *Succession) limit(set *ebonywood.ObjectSet) {
+func (decision *Succession) limit(now ebonywood.Millis, set *ebonywood.ObjectSet) {
 	for _, configured := range set.Instances() {
 		if each, known := decision.instances[configured.ID()]; known {
 			each.syncReplicas = configured.SyncReplicas()
 			continue
 		}
-		decision.instances[configured.ID()] = &instance{id: configured.ID(), syncReplicas: configured.SyncReplicas()}
+		decision.instances[configured.ID()] = &instance{id: configured.ID(), lostAt: now, syncReplicas: configured.SyncReplicas()}
 	}
 }
 
@@ -162,7 +169,7 @@
 	var actions []ebonywood.Action
 	for _, each := range decision.instances {
 		actions = append(actions, each.ask(now)...)
-		if decision.token == 0 {
+		if decision.token == 0 || decision.token == decision.refused {
 			continue
 		}
 		if each.change == nil {
@@ -172,9 +179,34 @@
 			actions = append(actions, each.advance(now, decision.token)...)
 		}
 	}
+	decision.isolated = decision.isIsolated(now)
 	return append(actions, decision.announce()...)
 }
 
+// isIsolated reports whether callers are better off at another proxy: this one
+// can reach neither the directory nor the primary of some instance.
+func (decision *Succession) isIsolated(now ebonywood.Millis) bool {
+	if !decision.away || now-decision.awaySince < isolatedSpan {
+		return false
+	}
+	for _, each := range decision.instances {
+		if each.lostAt > 0 && now-each.lostAt > isolatedSpan && len(each.members) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ended takes the platform's answer to an order. A token that was refused is not
+// used again.
+func (decision *Succession) ended(now ebonywood.Millis, event ebonywood.PromoteEnded) []ebonywood.Action {
+	fault := event.Fault()
+	if fault != nil && fault.Kind() == ebonywood.KindConflict {
+		decision.refused = event.Order().Token()
+	}
+	return decision.with(event.Order().Instance(), func(each *instance) []ebonywood.Action { return each.ended(now, event) })
+}
+
 // judge says why the instance needs another primary; empty if it doesn't.
 func (decision *Succession) judge(now ebonywood.Millis, each *instance) reason {
 	switch {
@@ -224,4 +256,5 @@
 		draft.AddView(each.view())
 	}
 	draft.SetReports(len(decision.reports))
+	draft.SetIsolated(decision.isolated)
 }
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -41,9 +41,9 @@
 	// endLimit bounds the giving back of the lease at the end.
 	endLimit = 300 * time.Millisecond
 	// leaseTTL is how long the lease outlives its last renewal.
-	leaseTTL ebonywood.Millis = 2000
+	leaseTTL ebonywood.Millis = 1200
 	// renewPeriod is the time between two renewals.
-	renewPeriod = 600 * time.Millisecond
+	renewPeriod = 400 * time.Millisecond
 	// retryPause follows a call that failed.
 	retryPause = 150 * time.Millisecond
 	// dutySpread is the random pause before a free duty is taken.
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -28,7 +28,7 @@
 	for {
 		view, found := edge.port.Snapshot().View(id)
 		if !found {
-			return nil, noPrimary(id)
+			view = &ebonywood.InstanceView{}
 		}
 		if member, found := view.Member(view.Primary()); found {
 			return edge.pool(id, member.Member()), nil
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -15,7 +15,7 @@
 	// reservedConnections of a member are left for proxies that join.
 	reservedConnections = 2
 	// borrowed is how many connections a proxy may open beyond its share.
-	borrowed = 2
+	borrowed = 1
 	// leastConnections is the least share of a proxy.
 	leastConnections = 2
 	// defaultConnections is the cap of a member that names none.
@@ -24,7 +24,7 @@
 	idleLimit ebonywood.Millis = 3000
 	// crowdedSpan is how long a member that had no connection left isn't asked for
 	// another one.
-	crowdedSpan ebonywood.Millis = 500
+	crowdedSpan ebonywood.Millis = 200
 	// laggedSpan is how long a replica that lacked a floor is passed over for
 	// floors that it is not known to hold.
 	laggedSpan ebonywood.Millis = 150
@@ -52,7 +52,6 @@
 
 	mutex   sync.Mutex
 	queue   *queue.Queue
-	slots   int
 	grants  map[uint64]chan bool
 	tickets uint64
 	idle    []*link
@@ -76,7 +75,7 @@
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
 		edge: edge, instance: instance, member: member, start: time.Now(),
-		queue: queue.New(leastConnections), slots: leastConnections, grants: map[uint64]chan bool{},
+		queue: queue.New(leastConnections), grants: map[uint64]chan bool{},
 		working: map[*link]struct{}{},
 	}
 }
@@ -227,7 +226,7 @@
 	pool.mutex.Lock()
 	pool.open--
 	if fault.Kind() == ebonywood.KindOverload {
-		pool.crowded = pool.edge.now() + crowdedSpan
+		pool.crowd()
 	}
 	pool.mutex.Unlock()
 	pool.edge.counters.count("dialFailed", fault.Kind().String())
@@ -237,6 +236,13 @@
 	return nil, fault
 }
 
+// crowd lets requests share the connections that stand until the member may have
+// another one; the mutex is held.
+func (pool *pool) crowd() {
+	pool.crowded = pool.edge.now() + crowdedSpan
+	pool.queue.Resize(max(1, pool.open))
+}
+
 // release ends a lease. A broken connection is closed.
 func (pool *pool) release(each *lease, broken bool) {
 	took := time.Since(each.began)
@@ -272,12 +278,11 @@
 func (pool *pool) trim(share int) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	if slots := share + borrowed; slots != pool.slots {
-		pool.slots = slots
-		pool.queue.Resize(slots)
+	now := pool.edge.now()
+	if now >= pool.crowded {
+		pool.queue.Resize(share + borrowed)
 		pool.grant()
 	}
-	now := pool.edge.now()
 	for len(pool.idle) > 0 && pool.open > share && now-pool.idle[0].lastUse > idleLimit {
 		pool.idle[0].conn.Close()
 		pool.idle = pool.idle[1:]
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -14,6 +14,10 @@
 	// idleSampleSpan the same for one that no caller needs.
 	sampleSpan     ebonywood.Millis = 250
 	idleSampleSpan ebonywood.Millis = 1000
+	// guessSpan is how long after its start a process guesses how many proxies
+	// share the members.
+	guessSpan      ebonywood.Millis = 3000
+	guessedProxies                  = 8
 	// inUse is how long after a statement an instance counts as in use.
 	inUse ebonywood.Millis = 5000
 	// askLimit bounds a question over a connection that stands.
@@ -57,7 +61,7 @@
 			continue
 		}
 		edge.refresh(view)
-		share := share(configured.Connections(), snapshot.Reports())
+		share := share(configured.Connections(), edge.proxies(snapshot))
 		for _, each := range view.Members() {
 			listed[each.Member().ID()] = true
 			edge.pool(view.ID(), each.Member()).trim(share)
@@ -66,6 +70,15 @@
 	edge.dropUnlisted(listed)
 }
 
+// proxies is how many proxies share the members. Until the reports of the others
+// had time to arrive it is a guess.
+func (edge *Edge) proxies(snapshot *ebonywood.Snapshot) int {
+	if edge.now() < guessSpan {
+		return max(snapshot.Reports(), guessedProxies)
+	}
+	return snapshot.Reports()
+}
+
 // share is how many connections to one member this process may keep.
 func share(connections, proxies int) int {
 	if connections == 0 {
--- a/snapshot.go
+++ b/snapshot.go
@@ -116,8 +116,12 @@
 	news     []PeerUpdate
 	hosts    HostsSeen
 	reports  int
+	isolated bool
 }
 
+// IsIsolated reports whether callers are better off at another proxy.
+func (snapshot *Snapshot) IsIsolated() bool { return snapshot.isolated }
+
 // Reports is how many proxies report to the directory, this one included.
 func (snapshot *Snapshot) Reports() int { return snapshot.reports }
 
@@ -197,6 +201,9 @@
 // SetReports sets how many proxies report to the directory.
 func (draft *Draft) SetReports(count int) { draft.snapshot.reports = count }
 
+// SetIsolated says whether callers are better off at another proxy.
+func (draft *Draft) SetIsolated(isolated bool) { draft.snapshot.isolated = isolated }
+
 // SetNews sets what is to be passed on; not to be changed later.
 func (draft *Draft) SetNews(news []PeerUpdate) { draft.snapshot.news = news }
 
