Refuse work that would miss its route's promise; let connections go where needed

Requests waited up to their timeout, all were late, and equal shares of connections left proxies with few callers with idle ones.

Now a statement waits nine tenths of its route's promised time for a connection (paid work as long as it takes), a proxy keeps half of an equal share idle and opens more where needed, and MAXCONN lets a request wait for a connection that stands instead of failing it.

--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -1,8 +1,8 @@
 package succession
 
 import (
-	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -67,7 +67,7 @@
 		members = append(members, next)
 	}
 	slices.SortFunc(members, func(left, right *member) int {
-		return cmp.Compare(left.listed.Member().ID(), right.listed.Member().ID())
+		return strings.Compare(string(left.listed.Member().ID()), string(right.listed.Member().ID()))
 	})
 	each.members = members
 	each.cached = nil
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -6,6 +6,14 @@
 	"github.com/ebonywood/ebonywood"
 )
 
+const (
+	// waitShare is the share of a route's promised time that a statement may wait
+	// for a connection.
+	waitShare = 0.9
+	// againShare is the same for each further member, if the first share is used up.
+	againShare = 0.25
+)
+
 // verdict is what may be done after an attempt on one connection.
 type verdict uint8
 
@@ -28,6 +36,26 @@
 	lostRead
 )
 
+// waitsUntil is how long the statement may wait for a connection. Work that waited
+// longer would be answered after the time that its route promises, and would make
+// all behind it late as well; refused at once, its caller can still be served
+// elsewhere. Paid work waits as long as it takes.
+func (each *attempt) waitsUntil(now time.Time) time.Time {
+	promised := each.route.Objective().Latency().Duration()
+	if promised <= 0 || each.route.IsPaid() {
+		return each.until
+	}
+	patience := each.began.Add(time.Duration(waitShare * float64(promised)))
+	again := now.Add(time.Duration(againShare * float64(promised)))
+	if patience.Before(again) {
+		patience = again
+	}
+	if each.until.Before(patience) {
+		return each.until
+	}
+	return patience
+}
+
 // judge reads a member's reply.
 func judge(reply ebonywood.Reply) verdict {
 	switch reply.Code() {
@@ -58,7 +86,7 @@
 			return failure(ebonywood.CodeBusy, fault.Message())
 		}
 		each.member = pool.member.ID()
-		taken, fault := pool.lease(each.route, shape(each.route, kind), each.until)
+		taken, fault := pool.lease(each, shape(each.route, kind))
 		if fault != nil {
 			reply = failure(ebonywood.CodeBusy, fault.Message())
 			if fault.Kind() == ebonywood.KindOverload && pool.crowdedNow() == 0 {
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -14,14 +14,14 @@
 	dialLimit = 600 * time.Millisecond
 	// reservedConnections of a member are left for proxies that join.
 	reservedConnections = 2
-	// borrowed is how many connections a proxy may open beyond its share.
+	// borrowed is how many connections a proxy may open beyond an equal share.
 	borrowed = 1
 	// leastConnections is the least share of a proxy.
 	leastConnections = 2
 	// defaultConnections is the cap of a member that names none.
 	defaultConnections = 20
 	// idleLimit is how long a connection beyond the share may lie idle.
-	idleLimit ebonywood.Millis = 3000
+	idleLimit ebonywood.Millis = 2000
 	// crowdedSpan is how long a member that had no connection left isn't asked for
 	// another one.
 	crowdedSpan ebonywood.Millis = 200
@@ -67,6 +67,8 @@
 	// crowded is until when no further connection is tried.
 	crowded ebonywood.Millis
 	known   ebonywood.Position
+	// heard is when the member last told its position.
+	heard   ebonywood.Millis
 	lagged  ebonywood.Millis
 	delay   float64
 	delayAt ebonywood.Millis
@@ -91,26 +93,37 @@
 // lease waits for a connection until the deadline. Its faults prove that nothing
 // was sent: KindOverload, the wait would be too long; KindUnavailable, the member
 // can't be reached.
-func (pool *pool) lease(route *ebonywood.Route, shape uint64, until time.Time) (*lease, *ebonywood.Fault) {
-	ticket, fault := pool.enter(route, shape, until)
-	if fault != nil {
-		return nil, fault
-	}
-	taken, fault := pool.connect(dialLimit)
-	if fault != nil {
-		pool.mutex.Lock()
-		pool.queue.Done(ticket, 0)
-		pool.leased--
-		pool.grant()
-		pool.mutex.Unlock()
-		return nil, fault
+func (pool *pool) lease(each *attempt, shape uint64) (*lease, *ebonywood.Fault) {
+	for {
+		ticket, fault := pool.enter(each, shape)
+		if fault != nil {
+			return nil, fault
+		}
+		taken, fault := pool.connect(dialLimit)
+		if fault == nil {
+			return &lease{link: taken, ticket: ticket, shape: shape, began: time.Now()}, nil
+		}
+		if !pool.leaveEmpty(ticket) || fault.Kind() != ebonywood.KindOverload {
+			return nil, fault
+		}
 	}
-	return &lease{link: taken, ticket: ticket, shape: shape, began: time.Now()}, nil
+}
+
+// leaveEmpty gives up a place for which there was no connection, and reports
+// whether other connections stand that may become free.
+func (pool *pool) leaveEmpty(ticket uint64) (others bool) {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	pool.queue.Done(ticket, 0)
+	pool.leased--
+	pool.grant()
+	return pool.leased > 0
 }
 
 // enter waits for the queue to grant a place.
-func (pool *pool) enter(route *ebonywood.Route, shape uint64, until time.Time) (uint64, *ebonywood.Fault) {
+func (pool *pool) enter(each *attempt, shape uint64) (uint64, *ebonywood.Fault) {
 	expected, known := pool.edge.expect(shape)
+	route, until := each.route, each.waitsUntil(time.Now())
 	pool.mutex.Lock()
 	if pool.closed || pool.silent {
 		pool.mutex.Unlock()
@@ -119,7 +132,7 @@
 	pool.tickets++
 	ticket := pool.tickets
 	now := time.Since(pool.start)
-	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, known, now, until.Sub(pool.start))
+	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, known, now, until.Sub(pool.start)+expected)
 	if !accepted {
 		pool.mutex.Unlock()
 		return 0, pool.overloaded(wait)
@@ -275,15 +288,15 @@
 }
 
 // trim adjusts the pool to its share of the member's connections.
-func (pool *pool) trim(share int) {
+func (pool *pool) trim(keep, most int) {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
 	if now >= pool.crowded {
-		pool.queue.Resize(share + borrowed)
+		pool.queue.Resize(most)
 		pool.grant()
 	}
-	for len(pool.idle) > 0 && pool.open > share && now-pool.idle[0].lastUse > idleLimit {
+	for len(pool.idle) > 0 && pool.open > keep && now-pool.idle[0].lastUse > idleLimit {
 		pool.idle[0].conn.Close()
 		pool.idle = pool.idle[1:]
 		pool.open--
@@ -313,6 +326,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	pool.known = at
+	pool.heard = pool.edge.now()
 }
 
 // markLagging notes that the member lacked a floor.
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -16,8 +16,12 @@
 	idleSampleSpan ebonywood.Millis = 1000
 	// guessSpan is how long after its start a process guesses how many proxies
 	// share the members.
-	guessSpan      ebonywood.Millis = 3000
-	guessedProxies                  = 8
+	guessSpan ebonywood.Millis = 3000
+	// guessedProxies is that guess.
+	guessedProxies = 8
+	// quietSpan is how long a member may tell nothing over connections in use
+	// before it is asked over another one.
+	quietSpan ebonywood.Millis = 500
 	// inUse is how long after a statement an instance counts as in use.
 	inUse ebonywood.Millis = 5000
 	// askLimit bounds a question over a connection that stands.
@@ -61,10 +65,14 @@
 			continue
 		}
 		edge.refresh(view)
-		share := share(configured.Connections(), edge.proxies(snapshot))
+		connections := configured.Connections()
+		if connections == 0 {
+			connections = defaultConnections
+		}
+		keep, most := share(connections, edge.proxies(snapshot))
 		for _, each := range view.Members() {
 			listed[each.Member().ID()] = true
-			edge.pool(view.ID(), each.Member()).trim(share)
+			edge.pool(view.ID(), each.Member()).trim(keep, most)
 		}
 	}
 	edge.dropUnlisted(listed)
@@ -79,12 +87,13 @@
 	return snapshot.Reports()
 }
 
-// share is how many connections to one member this process may keep.
-func share(connections, proxies int) int {
-	if connections == 0 {
-		connections = defaultConnections
-	}
-	return max(leastConnections, (connections-reservedConnections)/max(1, proxies))
+// share is how many connections to one member this process may keep idle, and how
+// many it may open. Callers are spread unevenly over the proxies, so each keeps
+// only half of an equal share and the rest goes where it is needed; a member that
+// has no connection left says so.
+func share(connections, proxies int) (keep, most int) {
+	equal := (connections - reservedConnections) / max(1, proxies)
+	return max(1, equal/2), max(leastConnections, equal+borrowed, connections/3)
 }
 
 // dropUnlisted closes the pools of members that are gone.
@@ -131,10 +140,17 @@
 // askLead opens a plain transaction on the member and ends it, which proves
 // whether the member leads.
 func (pool *pool) askLead() {
-	each, fault := pool.connect(checkLimit)
-	if fault != nil {
+	each := pool.takeIdle()
+	if each == nil && pool.isBusy() {
 		return
 	}
+	if each == nil {
+		opened, fault := pool.dial(checkLimit)
+		if fault != nil {
+			return
+		}
+		each = opened
+	}
 	asked := pool.edge.now()
 	replies, err := each.conn.Exchange([]ebonywood.Statement{
 		ebonywood.NewOwnStatement(ebonywood.VerbBegin, "", ""),
@@ -154,6 +170,15 @@
 	}
 }
 
+// isBusy reports whether all connections work for callers and one of them has
+// told something lately; then no further one is needed to know how the member
+// stands.
+func (pool *pool) isBusy() bool {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	return pool.leased > 0 && pool.edge.now()-pool.heard < quietSpan
+}
+
 // askStanding asks the member for its account of itself until it has a slot for
 // the question.
 func (pool *pool) askStanding() {
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -68,7 +68,7 @@
 		}
 		each.member = pool.member.ID()
 		tried[each.member] = true
-		taken, fault := pool.lease(each.route, shape(each.route, "read"), each.until)
+		taken, fault := pool.lease(each, shape(each.route, "read"))
 		if fault != nil {
 			reply = failure(ebonywood.CodeBusy, fault.Message())
 			continue
