Open one connection to a member at a time

Cause of the late answers after a loss of power: each proxy opened up to 11 connections to each member at once, each of which holds a slot for 27 ms, while the members still counted those of before. Ruled out: the way to the first configuration (0.1 s after the start of the process).

--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -59,6 +59,8 @@
 	// elsewhere.
 	working map[*link]struct{}
 	open    int
+	dialing int
+	most    int
 	leased  int
 	closed  bool
 	// silent says that fresh connections fail, too.
@@ -77,7 +79,7 @@
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
 		edge: edge, instance: instance, member: member, start: time.Now(),
-		queue: queue.New(leastConnections), grants: map[uint64]chan bool{},
+		queue: queue.New(1), most: leastConnections, grants: map[uint64]chan bool{},
 		working: map[*link]struct{}{},
 	}
 }
@@ -226,9 +228,15 @@
 		return nil, pool.crowdedFault()
 	}
 	pool.open++
+	pool.dialing++
 	pool.mutex.Unlock()
 	conn, at, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, limit)
+	pool.mutex.Lock()
+	pool.dialing--
 	if err == nil {
+		pool.resize()
+		pool.grant()
+		pool.mutex.Unlock()
 		pool.learnPosition(at)
 		return &link{
 			conn: conn, pool: pool, settings: map[string]string{}, names: map[string]struct{}{},
@@ -236,11 +244,11 @@
 		}, nil
 	}
 	fault := ebonywood.FaultOf(err)
-	pool.mutex.Lock()
 	pool.open--
 	if fault.Kind() == ebonywood.KindOverload {
-		pool.crowd()
+		pool.crowded = pool.edge.now() + crowdedSpan
 	}
+	pool.resize()
 	pool.mutex.Unlock()
 	pool.edge.counters.count("dialFailed", fault.Kind().String())
 	if fault.Kind() != ebonywood.KindOverload {
@@ -249,11 +257,16 @@
 	return nil, fault
 }
 
-// crowd lets requests share the connections that stand until the member may have
-// another one; the mutex is held.
-func (pool *pool) crowd() {
-	pool.crowded = pool.edge.now() + crowdedSpan
-	pool.queue.Resize(max(1, pool.open))
+// resize lets requests share the connections that stand and at most one that is
+// being opened, since the opening of a connection holds a slot of the member. While
+// the member has no connection left none is opened. The mutex is held.
+func (pool *pool) resize() {
+	standing := pool.open - pool.dialing
+	if pool.edge.now() < pool.crowded {
+		pool.queue.Resize(max(1, standing))
+		return
+	}
+	pool.queue.Resize(min(pool.most, standing+1))
 }
 
 // release ends a lease. A broken connection is closed.
@@ -281,6 +294,7 @@
 	if broken || pool.closed {
 		each.conn.Close()
 		pool.open--
+		pool.resize()
 		return
 	}
 	each.lastUse = pool.edge.now()
@@ -292,10 +306,9 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
-	if now >= pool.crowded {
-		pool.queue.Resize(most)
-		pool.grant()
-	}
+	pool.most = most
+	pool.resize()
+	pool.grant()
 	for len(pool.idle) > 0 && pool.open > keep && now-pool.idle[0].lastUse > idleLimit {
 		pool.idle[0].conn.Close()
 		pool.idle = pool.idle[1:]
