--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -124,7 +124,7 @@
 
 // enter waits for the queue to grant a place.
 func (pool *pool) enter(each *attempt, shape uint64) (uint64, *ebonywood.Fault) {
-	expected, known := pool.edge.expect(shape)
+	expected := pool.edge.expect(shape)
 	route, until := each.route, each.waitsUntil(time.Now())
 	pool.mutex.Lock()
 	if pool.closed || pool.silent {
@@ -134,7 +134,7 @@
 	pool.tickets++
 	ticket := pool.tickets
 	now := time.Since(pool.start)
-	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, known, now, until.Sub(pool.start)+expected)
+	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, true, now, until.Sub(pool.start)+expected)
 	if !accepted {
 		pool.mutex.Unlock()
 		return 0, pool.overloaded(wait)
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -25,7 +25,7 @@
 	statement ebonywood.Statement, view *ebonywood.InstanceView, each *attempt,
 ) ebonywood.Reply {
 	reply := session.onReader(view, each, func(lease *lease) (ebonywood.Reply, verdict) {
-		expected, _ := session.edge.expect(lease.shape)
+		expected := session.edge.expect(lease.shape)
 		began := time.Now()
 		replies, err := lease.runRepeatable(lease.ahead(session, each.shared), each.left(), statement.After(each.floor))
 		if err != nil {
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -27,6 +27,13 @@
 	registry.AddEdge(Name, func(port ebonywood.Port) (ebonywood.Edge, error) { return New(port), nil })
 }
 
+const (
+	// unknownCost is what work of a shape is expected to cost that was never seen.
+	unknownCost = 20 * time.Millisecond
+	// longestCost bounds what any work is expected to cost.
+	longestCost = 100 * time.Millisecond
+)
+
 // Edge runs sessions.
 type Edge struct {
 	port  ebonywood.Port
@@ -187,10 +194,17 @@
 	return known.samples.Floor(oldest)
 }
 
-func (edge *Edge) expect(shape uint64) (time.Duration, bool) {
+// expect is how long work of a shape is expected to hold its connection. A
+// transaction may hold one for long without using a slot of the member, so work
+// of an unknown shape need not be kept apart, and none counts as long.
+func (edge *Edge) expect(shape uint64) time.Duration {
 	edge.costMutex.Lock()
 	defer edge.costMutex.Unlock()
-	return edge.costs.Expect(shape)
+	expected, known := edge.costs.Expect(shape)
+	if !known {
+		return unknownCost
+	}
+	return min(expected, longestCost)
 }
 
 func (edge *Edge) learn(shape uint64, took time.Duration) (isNew bool) {
