Name the file of a YAML syntax error; keep late failures from hiding a return

'ebonywood check' printed 'yaml: line 2: ...' of the joined text. An attempt to reach a member during which the process itself stood still says nothing now.

--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -88,13 +88,20 @@
 	if event.Member() == each.primary && event.Term() == each.term {
 		return nil
 	}
-	gap := now - each.lostAt
+	gap := ebonywood.Millis(0)
+	if each.lostAt > 0 {
+		gap = now - each.lostAt
+	}
+	message := "primary"
+	if event.Member() == each.primary {
+		message = "term"
+	}
 	each.primary, each.term = event.Member(), event.Term()
 	each.lostAt, each.missingAt = 0, 0
 	each.find(event.Member()).unreachable = false
 	each.change = nil
 	each.cached = nil
-	return []ebonywood.Action{ebonywood.NewNote("primary",
+	return []ebonywood.Action{ebonywood.NewNote(message,
 		"instance", each.id, "member", event.Member(), "term", uint64(event.Term()), "unknownForMs", int64(gap))}
 }
 
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -62,6 +62,7 @@
 	mutex    sync.Mutex
 	away     bool
 	returned time.Time
+	answered time.Time
 	lease    ebonywood.LeaseID
 	suspects []ebonywood.MemberID
 	written  bool
@@ -136,10 +137,18 @@
 	}
 }
 
-// settled takes note of how a call ended.
-func (edge *Edge) settled(err error) {
+// settled takes note of how a call that was begun at a time has ended. A failure
+// says nothing if a later call has succeeded since.
+func (edge *Edge) settled(began time.Time, err error) {
 	failed := err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindUnavailable
 	edge.mutex.Lock()
+	if failed && began.Before(edge.answered) {
+		edge.mutex.Unlock()
+		return
+	}
+	if !failed {
+		edge.answered = time.Now()
+	}
 	changed := failed != edge.away
 	edge.away = failed
 	if changed && !failed {
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -21,8 +21,14 @@
 		case <-edge.wake:
 		case <-timer.C:
 		}
-		err := edge.maintain(ctx, &renewed)
-		edge.settled(err)
+		began := time.Now()
+		called, err := edge.maintain(ctx, &renewed)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if called {
+			edge.settled(began, err)
+		}
 		pause := renewPeriod - time.Since(renewed)
 		if err != nil {
 			pause = retryPause
@@ -31,31 +37,32 @@
 	}
 }
 
-// maintain does what is due.
-func (edge *Edge) maintain(ctx context.Context, renewed *time.Time) error {
-	if err := edge.holdLease(ctx, renewed); err != nil {
-		return err
+// maintain does what is due, and reports whether that took a call.
+func (edge *Edge) maintain(ctx context.Context, renewed *time.Time) (called bool, err error) {
+	called, err = edge.holdLease(ctx, renewed)
+	if err != nil {
+		return called, err
 	}
 	edge.mutex.Lock()
 	written, renew, held, free := edge.written, edge.renew, edge.held, edge.duty.Revision() == 0
 	edge.mutex.Unlock()
 	if !written {
 		if err := edge.writeOwnKey(ctx); err != nil {
-			return err
+			return true, err
 		}
 	}
 	switch {
 	case free:
-		return edge.takeFreeDuty(ctx)
+		return true, edge.takeFreeDuty(ctx)
 	case held && renew:
-		return edge.renewToken(ctx)
+		return true, edge.renewToken(ctx)
 	default:
-		return nil
+		return called || !written, nil
 	}
 }
 
 // holdLease renews the lease when it is due, or makes a new one.
-func (edge *Edge) holdLease(ctx context.Context, renewed *time.Time) error {
+func (edge *Edge) holdLease(ctx context.Context, renewed *time.Time) (called bool, err error) {
 	limited, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	directory := edge.port.Directory()
@@ -63,28 +70,28 @@
 	lease := edge.lease
 	edge.mutex.Unlock()
 	if lease != 0 && time.Since(*renewed) < renewPeriod {
-		return nil
+		return false, nil
 	}
 	if lease != 0 {
-		err := directory.Renew(limited, lease)
+		err = directory.Renew(limited, lease)
 		if err == nil {
 			*renewed = time.Now()
-			return nil
+			return true, nil
 		}
 		if ebonywood.FaultOf(err).Kind() != ebonywood.KindStale {
-			return err
+			return true, err
 		}
 		edge.port.Log().Info("lease lost", "lease", int64(lease))
 	}
-	lease, err := directory.Grant(limited, leaseTTL)
+	lease, err = directory.Grant(limited, leaseTTL)
 	if err != nil {
-		return err
+		return true, err
 	}
 	*renewed = time.Now()
 	edge.mutex.Lock()
 	edge.lease, edge.written = lease, false
 	edge.mutex.Unlock()
-	return nil
+	return true, nil
 }
 
 func (edge *Edge) writeOwnKey(ctx context.Context) error {
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -73,10 +73,11 @@
 
 // relist reads everything and compares it with what was believed.
 func (mirror *mirror) relist(ctx context.Context) error {
+	began := time.Now()
 	limited, cancel := context.WithTimeout(ctx, 2*callLimit)
 	defer cancel()
 	listed, at, err := mirror.edge.port.Directory().List(limited, mirror.prefix)
-	mirror.edge.settled(err)
+	mirror.edge.settled(began, err)
 	if err != nil {
 		return err
 	}
@@ -102,13 +103,14 @@
 	if len(mirror.lapsed) > 0 {
 		wait = purgeWait
 	}
+	began := time.Now()
 	limited, cancel := context.WithTimeout(ctx, wait.Duration()+watchSlack)
 	defer cancel()
 	changes, at, err := mirror.edge.port.Directory().Changes(limited, mirror.prefix, mirror.at, wait)
 	if ctx.Err() != nil {
 		return nil
 	}
-	mirror.edge.settled(err)
+	mirror.edge.settled(began, err)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -29,6 +29,8 @@
 	// checkLimit bounds the opening of a connection that only asks whether the
 	// member lives.
 	checkLimit = 400 * time.Millisecond
+	// stallSpan is how much longer than its limit an attempt may take.
+	stallSpan ebonywood.Millis = 120
 	// checkPause is the time between two such attempts.
 	checkPause = 150 * time.Millisecond
 	// standingLimit bounds the asking for a standing, refusals included.
@@ -252,12 +254,18 @@
 	return nil
 }
 
-// tryReach opens one connection; done says that no further attempt is needed.
+// tryReach opens one connection; done says that no further attempt is needed. An
+// attempt during which this process stood still itself says nothing.
 func (pool *pool) tryReach() (reached, done bool) {
+	asked := pool.edge.now()
 	conn, at, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, checkLimit)
+	stalled := pool.edge.now()-asked > ebonywood.MillisOf(checkLimit)+stallSpan
 	pool.mutex.Lock()
-	closed := pool.closed
+	closed, silent := pool.closed, pool.silent
 	pool.mutex.Unlock()
+	if err != nil && stalled {
+		return !silent, closed
+	}
 	if err != nil {
 		reached = ebonywood.FaultOf(err).Kind() == ebonywood.KindOverload
 		return reached, reached || closed
--- a/internal/objectfile/objectfile.go
+++ b/internal/objectfile/objectfile.go
@@ -12,6 +12,8 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"regexp"
+	"strconv"
 	"strings"
 
 	"github.com/cockroachdb/errors"
@@ -115,6 +117,20 @@
 	reading.faults = append(reading.faults, fmt.Sprintf("%s: %s: %s; %s", reading.place(line), subject, message, remedy))
 }
 
+// yamlLine finds the line in a message of the YAML library, which counts in the
+// joined text.
+var yamlLine = regexp.MustCompile(`^yaml: line (\d+): `)
+
+// syntaxFault names the file and the line of text that is not YAML.
+func (reading *reading) syntaxFault(err error) {
+	message, line := err.Error(), 1
+	if found := yamlLine.FindStringSubmatch(message); found != nil {
+		line, _ = strconv.Atoi(found[1])
+		message = strings.TrimPrefix(message, found[0])
+	}
+	reading.faults = append(reading.faults, fmt.Sprintf("%s: %s; mend the YAML", reading.place(line), message))
+}
+
 func (reading *reading) readAll(content []byte) {
 	decoder := yaml.NewDecoder(bytes.NewReader(content))
 	for {
@@ -124,7 +140,7 @@
 			return
 		}
 		if err != nil {
-			reading.faults = append(reading.faults, fmt.Sprintf("%v; mend the YAML", err))
+			reading.syntaxFault(err)
 			return
 		}
 		if len(document.Content) > 0 && document.Content[0].Kind == yaml.MappingNode {
