--- /dev/null
+++ b/internal/decision/succession/succession_test.go
@@ -0,0 +1,241 @@
+package succession
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	db     ebonywood.InstanceID = "db"
+	first  ebonywood.MemberID   = "m0"
+	second ebonywood.MemberID   = "m1"
+	third  ebonywood.MemberID   = "m2"
+	token                       = 7
+)
+
+// driver drives the decision by its own clock.
+type driver struct {
+	t        *testing.T
+	decision *Succession
+	now      ebonywood.Millis
+	actions  []ebonywood.Action
+}
+
+func listed(id ebonywood.MemberID, leaving bool) ebonywood.ListedMember {
+	member := ebonywood.NewMember(id, "a", "10.0.0.1:"+string(id[1:]), 3, 20, leaving)
+	return ebonywood.NewListedMember(member, db, id == first, 1)
+}
+
+// lead begins with three members of which the first leads, three proxies, and the
+// duty here.
+func lead(t *testing.T) *driver {
+	drive := &driver{t: t, decision: New("p0"), now: 1000}
+	drive.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, false), listed(second, false), listed(third, false)}))
+	drive.report(nil, nil)
+	drive.send(ebonywood.NewDutyChanged(true, token))
+	drive.send(ebonywood.NewLeadSeen(db, first, 1))
+	require.Equal(t, first, drive.view().Primary())
+	return drive
+}
+
+func (drive *driver) send(event ebonywood.Event) {
+	drive.actions = append(drive.actions, drive.decision.Handle(drive.now, event)...)
+}
+
+// pass lets time pass in ticks.
+func (drive *driver) pass(span ebonywood.Millis) {
+	for until := drive.now + span; drive.now < until; {
+		drive.now += 50
+		drive.send(ebonywood.Tick{})
+	}
+}
+
+// report has the other proxies suspect members.
+func (drive *driver) report(others ...[]ebonywood.MemberID) {
+	reports := []ebonywood.NodeReport{ebonywood.NewNodeReport("p0", nil)}
+	for i, suspects := range others {
+		reports = append(reports, ebonywood.NewNodeReport(fmt.Sprintf("p%d", i+1), suspects))
+	}
+	drive.send(ebonywood.NewNodesListed(reports))
+}
+
+func (drive *driver) view() *ebonywood.InstanceView {
+	draft := ebonywood.NewDraft()
+	drive.decision.Contribute(draft)
+	view, found := draft.Publish().View(db)
+	require.True(drive.t, found)
+	return view
+}
+
+// answer tells positions to all who were asked, and takes the orders.
+func (drive *driver) answer(received map[ebonywood.MemberID]uint64) {
+	for id, offset := range received {
+		standing := ebonywood.NewStanding(false, 1, ebonywood.NewPosition(1, offset), 0, 1)
+		drive.send(ebonywood.NewStandingSeen(db, id, standing, nil))
+	}
+}
+
+func (drive *driver) orders() []ebonywood.PromoteMember {
+	var orders []ebonywood.PromoteMember
+	for _, action := range drive.actions {
+		if order, ok := action.(ebonywood.PromoteMember); ok {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
+func (drive *driver) renewals() int {
+	count := 0
+	for _, action := range drive.actions {
+		if _, ok := action.(ebonywood.RenewToken); ok {
+			count++
+		}
+	}
+	return count
+}
+
+func TestMajorityOfReportsReplacesThePrimary(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewReachChanged(db, first, false))
+	drive.pass(1000)
+	require.Empty(t, drive.orders(), "the own silence may be this process's fault")
+	require.Empty(t, drive.view().Primary())
+	drive.report([]ebonywood.MemberID{first}, nil)
+	drive.pass(200)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 10, third: 12})
+	drive.pass(50)
+	require.Equal(t, []ebonywood.PromoteMember{ebonywood.NewPromoteMember(db, third, token)}, drive.orders())
+	drive.send(ebonywood.NewLeadSeen(db, third, 2))
+	require.Equal(t, third, drive.view().Primary())
+	drive.pass(2000)
+	require.Len(t, drive.orders(), 1)
+}
+
+func TestOthersMajoritySufficesWithoutOwnSilence(t *testing.T) {
+	drive := lead(t)
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	drive.pass(50)
+	require.Len(t, drive.orders(), 1)
+}
+
+func TestNobodyButTheHolderOrders(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewDutyChanged(false, 0))
+	drive.send(ebonywood.NewReachChanged(db, first, false))
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.pass(3000)
+	require.Empty(t, drive.orders())
+}
+
+func TestHolderGoesOnAloneWhileTheDirectoryIsAway(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewDirectoryChanged(false))
+	drive.send(ebonywood.NewReachChanged(db, first, false))
+	drive.pass(aloneSpan - 100)
+	require.Empty(t, drive.orders())
+	drive.pass(300)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 3})
+	drive.pass(standingsSpan + 50)
+	require.Len(t, drive.orders(), 1)
+}
+
+func TestCutOffHolderOrdersNothing(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewDirectoryChanged(false))
+	for _, id := range []ebonywood.MemberID{first, second, third} {
+		drive.send(ebonywood.NewReachChanged(db, id, false))
+	}
+	drive.pass(5000)
+	require.Empty(t, drive.orders())
+	draft := ebonywood.NewDraft()
+	drive.decision.Contribute(draft)
+	require.True(t, draft.Publish().IsIsolated())
+}
+
+func TestDoubtfulOrderIsFollowedByAGreaterToken(t *testing.T) {
+	drive := lead(t)
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	drive.pass(50)
+	order := drive.orders()[0]
+	drive.send(ebonywood.NewPromoteEnded(order, ebonywood.NewFault(ebonywood.KindUnavailable, "no answer", "")))
+	drive.pass(leadSpan + 50)
+	require.Equal(t, 1, drive.renewals())
+	drive.send(ebonywood.NewDutyChanged(true, token+1))
+	drive.pass(100)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	drive.pass(100)
+	require.Equal(t, int64(token+1), drive.orders()[1].Token())
+}
+
+func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
+	drive := lead(t)
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	drive.pass(50)
+	drive.send(ebonywood.NewPromoteEnded(drive.orders()[0], ebonywood.NewFault(ebonywood.KindConflict, "fenced", "")))
+	require.Equal(t, 1, drive.renewals())
+	for range 10 {
+		drive.pass(500)
+		drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	}
+	require.Len(t, drive.orders(), 1)
+}
+
+func TestLeavingPrimaryIsReplacedByOneThatStays(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, true), listed(second, true), listed(third, false)}))
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{third: 1})
+	drive.pass(50)
+	require.Equal(t, third, drive.orders()[0].Member())
+	require.Equal(t, first, drive.view().Primary(), "it serves until its successor leads")
+}
+
+func TestPrimaryMissingFromTheList(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(second, false), listed(third, false)}))
+	drive.pass(goneSpan - 100)
+	require.Empty(t, drive.orders())
+	drive.pass(300)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 2, third: 1})
+	drive.pass(50)
+	require.Equal(t, second, drive.orders()[0].Member())
+}
+
+// TestSyncReplicasNeedEveryPossibleHolder: with one synchronous replica of two, the
+// commit may lie on either.
+func TestSyncReplicasNeedEveryPossibleHolder(t *testing.T) {
+	drive := lead(t)
+	instance := ebonywood.NewInstance(db, nil).WithLimits(20, 1)
+	drive.send(ebonywood.NewSetAccepted(ebonywood.NewObjectSet(1, "", nil, []ebonywood.Instance{instance}, nil)))
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 5})
+	drive.pass(2000)
+	require.Empty(t, drive.orders())
+	drive.answer(map[ebonywood.MemberID]uint64{second: 5, third: 6})
+	drive.pass(50)
+	require.Equal(t, third, drive.orders()[0].Member())
+}
+
+func TestOldTermChangesNothing(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewLeadSeen(db, second, 3))
+	drive.send(ebonywood.NewLeadSeen(db, first, 1))
+	require.Equal(t, second, drive.view().Primary())
+	drive.send(ebonywood.NewLeadDenied(db, first))
+	require.Equal(t, second, drive.view().Primary())
+	drive.send(ebonywood.NewLeadDenied(db, second))
+	require.Empty(t, drive.view().Primary())
+	require.Positive(t, drive.view().PrimaryLostAt())
+}
--- a/internal/objectfile/objectfile_test.go
+++ b/internal/objectfile/objectfile_test.go
@@ -73,3 +73,9 @@
 	_, err := parse(text)
 	require.Len(t, strings.Split(ebonywood.FaultOf(err).Message(), "\n"), 3)
 }
+
+// TestSyntaxFaultNamesTheFile has a file that is no YAML behind one that is.
+func TestSyntaxFaultNamesTheFile(t *testing.T) {
+	_, err := Parse(7, Join([]string{"set.yaml", "broken.yaml"}, [][]byte{[]byte(good), []byte("kind: route\nname: [x\n")}))
+	require.ErrorContains(t, err, "broken.yaml:")
+}
