--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -17,6 +17,11 @@
 	ownWait           ebonywood.Millis = 3000
 	// purgeWait is the same while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
+	// listLimit bounds the attempts to list, listPause is the time between two of
+	// them.
+	listLimit    = 1600 * time.Millisecond
+	listPause    = 300 * time.Millisecond
+	listAttempts = 5
 	// watchSlack is added for the way of the answer.
 	watchSlack = 600 * time.Millisecond
 	// lapsedSpan is how long entries that lapsed while the directory was away are
@@ -71,12 +76,50 @@
 	}
 }
 
+// listing is the outcome of one attempt to list.
+type listing struct {
+	items []ebonywood.Item
+	at    int64
+	err   error
+}
+
+// list reads everything under the prefix. A call that the directory received while
+// it was away may never be answered, so further attempts are begun beside it and
+// the first success counts.
+func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, int64, error) {
+	limited, cancel := context.WithTimeout(ctx, listLimit)
+	defer cancel()
+	results := make(chan listing, listAttempts)
+	attempt := func(context.Context) error {
+		items, at, err := mirror.edge.port.Directory().List(limited, mirror.prefix)
+		results <- listing{items: items, at: at, err: err}
+		return nil
+	}
+	mirror.edge.group.Go(attempt)
+	begun, ended := 1, 0
+	next := time.NewTimer(listPause)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			if begun < listAttempts {
+				begun++
+				mirror.edge.group.Go(attempt)
+				next.Reset(listPause)
+			}
+		case result := <-results:
+			ended++
+			if result.err == nil || ended == begun {
+				return result.items, result.at, result.err
+			}
+		}
+	}
+}
+
 // relist reads everything and compares it with what was believed.
 func (mirror *mirror) relist(ctx context.Context) error {
 	began := time.Now()
-	limited, cancel := context.WithTimeout(ctx, 2*callLimit)
-	defer cancel()
-	listed, at, err := mirror.edge.port.Directory().List(limited, mirror.prefix)
+	listed, at, err := mirror.list(ctx)
 	mirror.edge.settled(began, err)
 	if err != nil {
 		return err
