Explain a request from the logs; report service levels on the platform

Request lines carry the configuration's generation, the term and the age of the newest sample. The operators' edge serves metrics and service levels on the platform as well, instead of a copy in the front.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -72,7 +72,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(newProxy(), newNode(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
-		newDemo(), newStandin(), newVersion())
+		newExplain(), newDemo(), newStandin(), newVersion())
 	return root
 }
 
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -54,7 +54,7 @@
 	defer stopLog()
 	meter := metrics.New()
 	defer meter.Close()
-	proxy, err := kernel.New(read, log, meter, registry.Standard(), platform.Decisions(), platform.Edges())
+	proxy, err := kernel.New(read, log, meter, registry.Standard(), platform.Decisions(), platform.Edges(read))
 	if err != nil {
 		return err
 	}
@@ -64,7 +64,7 @@
 	defer stopGrace()
 	stopReloads := logReloads(ctx, log)
 	defer stopReloads()
-	log.Info("start", "zone", read.Zone(), "address", read.CallerAddress(), "incarnation", read.Incarnation())
+	log.Info("start", "zone", read.Zone(), "address", read.CallerAddress(), "operators", read.OperatorAddress(), "incarnation", read.Incarnation())
 	err = proxy.Run(ctx)
 	log.Info("stop")
 	return err
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -102,7 +102,9 @@
 func TestMajorityOfReportsReplacesThePrimary(t *testing.T) {
 	drive := lead(t)
 	drive.send(ebonywood.NewReachChanged(db, first, false))
-	drive.pass(1000)
+	drive.pass(500)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 10, third: 12})
+	drive.pass(500)
 	require.Empty(t, drive.orders(), "the own silence may be this process's fault")
 	require.Empty(t, drive.view().Primary())
 	drive.report([]ebonywood.MemberID{first}, nil)
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -61,13 +61,39 @@
 	}
 }
 
-// decided logs how a request ended and on which grounds, when it did not simply
-// succeed at the first member.
-func (counters counters) decided(statement ebonywood.Statement, each *attempt, reply ebonywood.Reply) {
-	if reply.Code() == ebonywood.CodeDone && each.tries <= 1 {
+// account records how a request ended, for the metrics and the service levels,
+// and logs the grounds when it did not simply succeed at the first member.
+func (edge *Edge) account(statement ebonywood.Statement, each *attempt, reply ebonywood.Reply) {
+	took := time.Since(each.began)
+	edge.counters.record(each.route.Name(), reply.Code().String(), took)
+	done := reply.Code() == ebonywood.CodeDone
+	edge.port.Levels().Record(each.route.Name(), each.route.Objective(), done, took, edge.now())
+	if done && each.tries <= 1 {
 		return
 	}
-	counters.line("request", "id", statement.ID(), "route", each.route.Name(), "outcome", reply.Code().String(),
-		"why", reply.Message(), "member", each.member, "tries", each.tries, "floor", each.floor.String(),
-		"tookMs", time.Since(each.began).Milliseconds())
+	snapshot := edge.port.Snapshot()
+	generation, term := uint64(0), ebonywood.Term(0)
+	if set := snapshot.Set(); set != nil {
+		generation = set.Generation()
+	}
+	instance := each.route.Instances()[0]
+	if view, found := snapshot.View(instance); found {
+		term = view.Term()
+	}
+	edge.counters.line("request", "id", statement.ID(), "route", each.route.Name(), "instance", instance,
+		"outcome", reply.Code().String(), "why", reply.Message(), "member", each.member, "tries", each.tries,
+		"floor", each.floor.String(), "sampleAgeMs", int64(edge.sampleAge(instance)), "generation", generation,
+		"term", uint64(term), "tookMs", took.Milliseconds())
+}
+
+// sampleAge is how old the newest sample of an instance is.
+func (edge *Edge) sampleAge(id ebonywood.InstanceID) ebonywood.Millis {
+	known := edge.leader(id)
+	known.mutex.Lock()
+	defer known.mutex.Unlock()
+	newest, found := known.samples.Newest()
+	if !found {
+		return -1
+	}
+	return edge.now() - newest
 }
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -196,8 +196,7 @@
 	default:
 		reply = session.read(sent, view, each)
 	}
-	session.edge.counters.decided(statement, each, reply)
-	session.edge.counters.record(route.Name(), reply.Code().String(), time.Since(each.began))
+	session.edge.account(statement, each, reply)
 	return reply.InState(ebonywood.TxIdle)
 }
 
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -108,15 +108,13 @@
 	if tx.lease == nil {
 		if reply := session.take(each); reply.Code() != ebonywood.CodeDone {
 			session.fail()
-			session.edge.counters.decided(statement, each, reply)
-			session.edge.counters.record(tx.route.Name(), reply.Code().String(), time.Since(each.began))
+			session.edge.account(statement, each, reply)
 			return reply.InState(ebonywood.TxFailed)
 		}
 	}
 	tx.wrote = tx.wrote || each.writes
 	reply := session.offer(sent, each)
-	session.edge.counters.decided(statement, each, reply)
-	session.edge.counters.record(tx.route.Name(), reply.Code().String(), time.Since(each.began))
+	session.edge.account(statement, each, reply)
 	return reply
 }
 
@@ -196,7 +194,7 @@
 	if tx.lease == nil {
 		if reply := session.take(each); reply.Code() != ebonywood.CodeDone {
 			session.end()
-			session.edge.counters.decided(statement, each, reply)
+			session.edge.account(statement, each, reply)
 			return reply.InState(ebonywood.TxIdle)
 		}
 	}
@@ -204,8 +202,7 @@
 	each.member = pool.member.ID()
 	reply := session.sendCommit(statement, each)
 	session.end()
-	session.edge.counters.decided(statement, each, reply)
-	session.edge.counters.record(tx.route.Name(), reply.Code().String(), time.Since(each.began))
+	session.edge.account(statement, each, reply)
 	return reply.InState(ebonywood.TxIdle)
 }
 
