Follow the directory with one watch; back off while it is away

Three waiting watches were three calls each time, and each mirror called on its own while the store was away.

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -44,8 +44,9 @@
 	leaseTTL ebonywood.Millis = 1200
 	// renewPeriod is the time between two renewals.
 	renewPeriod = 400 * time.Millisecond
-	// retryPause follows a call that failed.
-	retryPause = 150 * time.Millisecond
+	// retryPause follows a call that failed, doubled so many times at most.
+	retryPause     = 100 * time.Millisecond
+	retryDoublings = 3
 	// dutySpread is the random pause before a free duty is taken.
 	dutySpread = 100 * time.Millisecond
 )
@@ -56,8 +57,9 @@
 	nonce string
 	group *rungroup.Group
 
-	// wake interrupts the wait of the keeper.
+	// wake interrupts the wait of the keeper, back that of the mirror.
 	wake chan struct{}
+	back chan struct{}
 
 	mutex    sync.Mutex
 	away     bool
@@ -88,7 +90,7 @@
 func New(port ebonywood.Port) *Edge {
 	return &Edge{
 		port: port, nonce: fmt.Sprintf("%x", rand.Uint64()), group: rungroup.New(context.Background()),
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), back: make(chan struct{}, 1),
 	}
 }
 
@@ -96,13 +98,12 @@
 // wait for it to lapse.
 func (edge *Edge) Run(ctx context.Context) error {
 	directory := edge.port.Directory()
-	configuration := newMirror(edge, directory.ConfigurationKey(), configurationWait, edge.configure)
-	members := newMirror(edge, directory.MemberPrefix(), memberWait, edge.list)
-	members.keepsLapsed = true
-	own := newMirror(edge, ownPrefix, ownWait, edge.takeOwn)
-	edge.group.Go(configuration.run)
-	edge.group.Go(members.run)
-	edge.group.Go(own.run)
+	mirror := newMirror(edge,
+		section{prefix: directory.ConfigurationKey(), tell: edge.configure},
+		section{prefix: directory.MemberPrefix(), tell: edge.list},
+		section{prefix: ownPrefix, tell: edge.takeOwn},
+	)
+	edge.group.Go(mirror.run)
 	edge.group.Go(edge.keep)
 	select {
 	case <-ctx.Done():
@@ -153,6 +154,10 @@
 	edge.away = failed
 	if changed && !failed {
 		edge.returned = time.Now()
+		select {
+		case edge.back <- struct{}{}:
+		default:
+		}
 	}
 	edge.mutex.Unlock()
 	if !changed {
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -31,7 +31,7 @@
 		}
 		pause := renewPeriod - time.Since(renewed)
 		if err != nil {
-			pause = retryPause
+			pause = 2 * retryPause
 		}
 		timer.Reset(max(pause, 0))
 	}
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -2,19 +2,21 @@
 
 import (
 	"context"
-	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/ebonywood/ebonywood"
 )
 
+// everything is the prefix of all keys.
+const everything = ""
+
 const (
-	// The waits of a watch for a change. A watch may be left without an answer while
-	// changes are made, so each is well below the time in which a change has to be
-	// in force.
-	configurationWait ebonywood.Millis = 1500
-	memberWait        ebonywood.Millis = 2000
-	ownWait           ebonywood.Millis = 3000
+	// watchWait is how long a watch waits for a change. A watch may be left without
+	// an answer while changes are made, so it is well below the time in which a
+	// change has to be in force.
+	watchWait ebonywood.Millis = 1600
 	// purgeWait is the same while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
 	// listLimit bounds the attempts to list, listPause is the time between two of
@@ -29,23 +31,42 @@
 	lapsedSpan = 2300 * time.Millisecond
 )
 
-// mirror follows the keys under one prefix.
+// mirror follows all keys of the directory with one watch, since each waiting
+// watch counts as a call.
 type mirror struct {
-	edge        *Edge
-	prefix      string
-	tell        func(context.Context, map[string]ebonywood.Item)
-	wait        ebonywood.Millis
-	keepsLapsed bool
-	items       map[string]ebonywood.Item
+	edge     *Edge
+	sections []section
+	items    map[string]ebonywood.Item
 	// lapsed are kept entries that the directory does not hold any more.
 	lapsed map[string]bool
 	at     int64
+	pauses int
+}
+
+// section is what is told of the keys under one prefix.
+type section struct {
+	prefix string
+	tell   func(context.Context, map[string]ebonywood.Item)
 }
 
-func newMirror(
-	edge *Edge, prefix string, wait ebonywood.Millis, tell func(context.Context, map[string]ebonywood.Item),
-) *mirror {
-	return &mirror{edge: edge, prefix: prefix, wait: wait, tell: tell, lapsed: map[string]bool{}}
+func newMirror(edge *Edge, sections ...section) *mirror {
+	return &mirror{edge: edge, sections: sections, lapsed: map[string]bool{}}
+}
+
+// tell passes the items of the sections on that changed reports.
+func (mirror *mirror) tell(ctx context.Context, changed func(prefix string) bool) {
+	for _, each := range mirror.sections {
+		if !changed(each.prefix) {
+			continue
+		}
+		items := map[string]ebonywood.Item{}
+		for key, item := range mirror.items {
+			if strings.HasPrefix(key, each.prefix) {
+				items[key] = item
+			}
+		}
+		each.tell(ctx, items)
+	}
 }
 
 func (mirror *mirror) run(ctx context.Context) error {
@@ -60,7 +81,7 @@
 				continue
 			}
 			if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
-				mirror.edge.port.Log().Info("history gone", "prefix", mirror.prefix, "at", mirror.at)
+				mirror.edge.port.Log().Info("history gone", "at", mirror.at)
 				break
 			}
 			mirror.pause(ctx)
@@ -69,10 +90,15 @@
 	return nil
 }
 
+// pause waits before the next call, longer each time; the directory's return ends
+// the wait.
 func (mirror *mirror) pause(ctx context.Context) {
+	span := retryPause << min(mirror.pauses, retryDoublings)
+	mirror.pauses++
 	select {
 	case <-ctx.Done():
-	case <-time.After(retryPause):
+	case <-mirror.edge.back:
+	case <-time.After(span):
 	}
 }
 
@@ -83,7 +109,7 @@
 	err   error
 }
 
-// list reads everything under the prefix. A call that the directory received while
+// list reads everything. A call that the directory received while
 // it was away may never be answered, so further attempts are begun beside it and
 // the first success counts.
 func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, int64, error) {
@@ -91,7 +117,7 @@
 	defer cancel()
 	results := make(chan listing, listAttempts)
 	attempt := func(context.Context) error {
-		items, at, err := mirror.edge.port.Directory().List(limited, mirror.prefix)
+		items, at, err := mirror.edge.port.Directory().List(limited, everything)
 		results <- listing{items: items, at: at, err: err}
 		return nil
 	}
@@ -135,21 +161,21 @@
 			mirror.lapsed[key] = true
 		}
 	}
-	mirror.items, mirror.at = items, at
-	mirror.tell(ctx, maps.Clone(items))
+	mirror.items, mirror.at, mirror.pauses = items, at, 0
+	mirror.tell(ctx, func(string) bool { return true })
 	return nil
 }
 
 // follow takes the next changes.
 func (mirror *mirror) follow(ctx context.Context) error {
-	wait := mirror.wait
+	wait := watchWait
 	if len(mirror.lapsed) > 0 {
 		wait = purgeWait
 	}
 	began := time.Now()
 	limited, cancel := context.WithTimeout(ctx, wait.Duration()+watchSlack)
 	defer cancel()
-	changes, at, err := mirror.edge.port.Directory().Changes(limited, mirror.prefix, mirror.at, wait)
+	changes, at, err := mirror.edge.port.Directory().Changes(limited, everything, mirror.at, wait)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -157,14 +183,15 @@
 	if err != nil {
 		return err
 	}
-	mirror.at = max(mirror.at, at)
+	mirror.at, mirror.pauses = max(mirror.at, at), 0
 	for _, change := range changes {
 		mirror.take(change)
 	}
 	purged := mirror.purge()
-	if len(changes) > 0 || purged {
-		mirror.tell(ctx, maps.Clone(mirror.items))
-	}
+	mirror.tell(ctx, func(prefix string) bool {
+		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() ||
+			slices.ContainsFunc(changes, func(change ebonywood.Item) bool { return strings.HasPrefix(change.Key(), prefix) })
+	})
 	return nil
 }
 
@@ -186,7 +213,7 @@
 // keeps reports whether an entry that is gone may only have lapsed while the
 // directory was away.
 func (mirror *mirror) keeps(item ebonywood.Item) bool {
-	if !mirror.keepsLapsed || mirror.edge.returnedFor() > lapsedSpan {
+	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) || mirror.edge.returnedFor() > lapsedSpan {
 		return false
 	}
 	entry, err := mirror.edge.port.Directory().DecodeMember(item)
