Serve operators at a port that the deploy file names

'metrics' in deploy/system.toml is a fixed port, while the internal ports differ by deployment (7480, 7400 seen), so nothing answered there.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -31,7 +31,8 @@
 )
 
 func newNode() *cobra.Command {
-	return &cobra.Command{
+	var operatorsPort int
+	command := &cobra.Command{
 		Use:   "node",
 		Short: "Run a proxy on the platform until it is asked to stop",
 		Long: `Runs one proxy with the settings file that the platform writes; ` + settings.Variable + `
@@ -39,16 +40,20 @@
 leaves. SIGHUP reads the settings file again and logs what it finds.`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runNode(command.Context())
+			return runNode(command.Context(), operatorsPort)
 		},
 	}
+	command.Flags().IntVar(&operatorsPort, "operators-port", 0,
+		"the port for metrics and status; 0 takes the first of the host's internal ports")
+	return command
 }
 
-func runNode(ctx context.Context) error {
+func runNode(ctx context.Context, operatorsPort int) error {
 	read, err := settings.Read(settings.Path())
 	if err != nil {
 		return err
 	}
+	read = read.WithOperatorsPort(operatorsPort)
 	limitRuntime(read)
 	log, stopLog := newBoundedLog(read.Name())
 	defer stopLog()
