--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -102,5 +102,5 @@
 	}
 	age := float64(now - pool.delayAt)
 	delay := pool.delay * halfLife / (halfLife + age)
-	return float64(pool.leased)*leasedCost + delay, true
+	return float64(pool.admission.Running())*leasedCost + delay, true
 }
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/ebonywood/ebonywood"
-	"github.com/ebonywood/ebonywood/internal/queue"
+	"github.com/ebonywood/ebonywood/internal/admission"
 )
 
 const (
@@ -48,20 +48,17 @@
 	edge     *Edge
 	instance ebonywood.InstanceID
 	member   ebonywood.Member
-	start    time.Time
+	// admission lets statements wait for the connections.
+	admission *admission.Admission
 
-	mutex   sync.Mutex
-	queue   *queue.Queue
-	grants  map[uint64]chan bool
-	tickets uint64
-	idle    []*link
+	mutex sync.Mutex
+	idle  []*link
 	// working are the links whose exchange may be given up, because it can be run
 	// elsewhere.
 	working map[*link]struct{}
 	open    int
 	dialing int
 	most    int
-	leased  int
 	closed  bool
 	// silent says that fresh connections fail, too.
 	silent   bool
@@ -78,8 +75,8 @@
 
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
-		edge: edge, instance: instance, member: member, start: time.Now(),
-		queue: queue.New(1), most: leastConnections, grants: map[uint64]chan bool{},
+		edge: edge, instance: instance, member: member,
+		admission: admission.New(1), most: leastConnections,
 		working: map[*link]struct{}{},
 	}
 }
@@ -114,87 +111,28 @@
 // leaveEmpty gives up a place for which there was no connection, and reports
 // whether other connections stand that may become free.
 func (pool *pool) leaveEmpty(ticket uint64) (others bool) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	pool.queue.Done(ticket, 0)
-	pool.leased--
-	pool.grant()
-	return pool.leased > 0
+	pool.admission.Leave(ticket, 0)
+	return pool.admission.Running() > 0
 }
 
-// enter waits for the queue to grant a place.
+// enter waits for a place among those that use connections.
 func (pool *pool) enter(each *attempt, shape uint64) (uint64, *ebonywood.Fault) {
-	expected := pool.edge.expect(shape)
-	route, until := each.route, each.waitsUntil(time.Now())
-	pool.mutex.Lock()
-	if pool.closed || pool.silent {
-		pool.mutex.Unlock()
+	if pool.isUnusable() {
 		return 0, pool.unavailable("the member does not answer")
 	}
-	pool.tickets++
-	ticket := pool.tickets
-	now := time.Since(pool.start)
-	wait, accepted := pool.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(), expected, true, now, until.Sub(pool.start)+expected)
-	if !accepted {
-		pool.mutex.Unlock()
-		return 0, pool.overloaded(wait)
-	}
-	granted := make(chan bool, 1)
-	pool.grants[ticket] = granted
-	pool.grant()
-	pool.mutex.Unlock()
-	select {
-	case started := <-granted:
-		if started {
-			return ticket, nil
-		}
+	expected := pool.edge.expect(shape)
+	until := each.waitsUntil(time.Now())
+	ticket, wait, err := pool.admission.Enter(pool.edge.group.Context(), each.route, shape, expected, true, until.Add(expected), until)
+	if err != nil {
 		return 0, pool.overloaded(wait)
-	default:
 	}
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	select {
-	case started := <-granted:
-		if started {
-			return ticket, nil
-		}
-	case <-timer.C:
-		pool.withdraw(ticket)
-	}
-	return 0, pool.overloaded(wait)
+	return ticket, nil
 }
 
-func (pool *pool) withdraw(ticket uint64) {
+func (pool *pool) isUnusable() bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	delete(pool.grants, ticket)
-	if !pool.queue.Remove(ticket) {
-		pool.queue.Done(ticket, 0)
-		pool.leased--
-		pool.grant()
-	}
-}
-
-// grant gives free places to what waits; the mutex is held.
-func (pool *pool) grant() {
-	for _, ticket := range pool.queue.Evict(time.Since(pool.start)) {
-		pool.answer(ticket, false)
-	}
-	for {
-		ticket, found := pool.queue.Pop()
-		if !found {
-			return
-		}
-		pool.leased++
-		pool.answer(ticket, true)
-	}
-}
-
-func (pool *pool) answer(ticket uint64, started bool) {
-	if granted, waits := pool.grants[ticket]; waits {
-		granted <- started
-		delete(pool.grants, ticket)
-	}
+	return pool.closed || pool.silent
 }
 
 // connect takes the connection used last, so that others can age, or opens one.
@@ -235,7 +173,6 @@
 	pool.dialing--
 	if err == nil {
 		pool.resize()
-		pool.grant()
 		pool.mutex.Unlock()
 		pool.learnPosition(at)
 		return &link{
@@ -263,26 +200,18 @@
 func (pool *pool) resize() {
 	standing := pool.open - pool.dialing
 	if pool.edge.now() < pool.crowded {
-		pool.queue.Resize(max(1, standing))
+		pool.admission.Resize(max(1, standing))
 		return
 	}
-	pool.queue.Resize(min(pool.most, standing+1))
+	pool.admission.Resize(min(pool.most, standing+1))
 }
 
 // release ends a lease. A broken connection is closed.
 func (pool *pool) release(each *lease, broken bool) {
 	took := time.Since(each.began)
-	pool.mutex.Lock()
-	pool.queue.Done(each.ticket, took)
-	pool.leased--
-	if pool.edge.learn(each.shape, took) {
-		pool.queue.Learned(each.shape, took)
-	}
-	pool.mutex.Unlock()
+	pool.edge.learn(each.shape, took)
 	pool.giveBack(each.link, broken)
-	pool.mutex.Lock()
-	pool.grant()
-	pool.mutex.Unlock()
+	pool.admission.Leave(each.ticket, took)
 	if broken {
 		pool.suspect()
 	}
@@ -308,7 +237,6 @@
 	now := pool.edge.now()
 	pool.most = most
 	pool.resize()
-	pool.grant()
 	for len(pool.idle) > 0 && pool.open > keep && now-pool.idle[0].lastUse > idleLimit {
 		pool.idle[0].conn.Close()
 		pool.idle = pool.idle[1:]
@@ -325,10 +253,7 @@
 		pool.open--
 	}
 	pool.idle = nil
-	for ticket := range pool.grants {
-		pool.queue.Remove(ticket)
-		pool.answer(ticket, false)
-	}
+	pool.admission.RefuseAll()
 }
 
 // learnPosition takes the end of the member's log as it last told it.
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -178,7 +178,7 @@
 func (pool *pool) isBusy() bool {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	return pool.leased > 0 && pool.edge.now()-pool.heard < quietSpan
+	return pool.admission.Running() > 0 && pool.edge.now()-pool.heard < quietSpan
 }
 
 // askStanding asks the member for its account of itself until it has a slot for
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -207,8 +207,8 @@
 	return min(expected, longestCost)
 }
 
-func (edge *Edge) learn(shape uint64, took time.Duration) (isNew bool) {
+func (edge *Edge) learn(shape uint64, took time.Duration) {
 	edge.costMutex.Lock()
 	defer edge.costMutex.Unlock()
-	return edge.costs.Learn(shape, took)
+	edge.costs.Learn(shape, took)
 }
--- a/internal/edge/target/pool.go
+++ b/internal/edge/target/pool.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/admission"
 	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/pgconn"
-	"github.com/ebonywood/ebonywood/internal/queue"
 )
 
 const (
@@ -47,12 +49,10 @@
 type pool struct {
 	edge   *Edge
 	member ebonywood.Member
-	start  time.Time
+
+	admission *admission.Admission
 
 	mutex   sync.Mutex
-	queue   *queue.Queue
-	grants  map[uint64]chan bool
-	tickets uint64
 	idle    []*conn
 	open    int
 	dialing int
@@ -68,8 +68,7 @@
 
 func newPool(edge *Edge, member ebonywood.Member) *pool {
 	pool := &pool{
-		edge: edge, member: member, start: time.Now(), queue: queue.New(member.Slots()),
-		grants: map[uint64]chan bool{},
+		edge: edge, member: member, admission: admission.New(member.Slots()),
 	}
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -88,9 +87,7 @@
 
 // load is the expected wait for a slot, in seconds.
 func (pool *pool) load() float64 {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	return pool.queue.Load().Seconds()
+	return pool.admission.Load().Seconds()
 }
 
 // isFailing reports whether connections could not be opened a moment ago.
@@ -153,34 +150,20 @@
 // enter waits for a slot. It refuses at once when the predicted wait passes the
 // deadline.
 func (pool *pool) enter(ctx context.Context, need ebonywood.Need, route *ebonywood.Route) (uint64, error) {
-	pool.mutex.Lock()
-	pool.tickets++
-	ticket := pool.tickets
 	expected, known := pool.edge.expect(need.Shape())
-	now := time.Since(pool.start)
-	deadline := now + need.Deadline().Duration()
-	if until, bounded := ctx.Deadline(); bounded {
-		deadline = min(deadline, now+time.Until(until))
+	deadline := time.Now().Add(need.Deadline().Duration())
+	if until, bounded := ctx.Deadline(); bounded && until.Before(deadline) {
+		deadline = until
 	}
-	wait, accepted := pool.queue.Push(ticket, need.Shape(), route.Name(), route.Weight(), route.IsPaid(),
-		expected, known, now, deadline)
-	if !accepted {
-		pool.mutex.Unlock()
+	ticket, wait, err := pool.admission.Enter(ctx, route, need.Shape(), expected, known, deadline, deadline)
+	switch {
+	case errors.Is(err, admission.ErrRefused):
 		return 0, pool.refuse(route, wait)
+	case err != nil:
+		return 0, ebonywood.NewFault(ebonywood.KindNotRun,
+			fmt.Sprintf("no slot of %s in time: %v", pool.member.ID(), err), "send the request again; it was not run")
 	}
-	granted := make(chan bool, 1)
-	pool.grants[ticket] = granted
-	pool.grant()
-	pool.mutex.Unlock()
-	select {
-	case started := <-granted:
-		if !started {
-			return 0, pool.refuse(route, wait)
-		}
-		return ticket, nil
-	case <-ctx.Done():
-		return 0, pool.withdraw(ticket, ctx.Err())
-	}
+	return ticket, nil
 }
 
 // refuse tells a caller early that its request will not be run in time.
@@ -191,51 +174,11 @@
 		fmt.Sprintf("the request was not run; send it again in %d ms", wait.Milliseconds()))
 }
 
-// withdraw takes a ticket back that was not granted, or frees its slot if the
-// grant came at the same moment.
-func (pool *pool) withdraw(ticket uint64, cause error) error {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	if pool.queue.Remove(ticket) {
-		delete(pool.grants, ticket)
-	} else {
-		pool.queue.Done(ticket, 0)
-		pool.grant()
-	}
-	return ebonywood.NewFault(ebonywood.KindNotRun,
-		fmt.Sprintf("no slot of %s in time: %v", pool.member.ID(), cause), "send the request again; it was not run")
-}
-
-// grant gives the free slots to what waits; the mutex is held.
-func (pool *pool) grant() {
-	now := time.Since(pool.start)
-	for _, ticket := range pool.queue.Evict(now) {
-		pool.answer(ticket, false)
-	}
-	for {
-		ticket, found := pool.queue.Pop()
-		if !found {
-			return
-		}
-		pool.answer(ticket, true)
-	}
-}
-
-func (pool *pool) answer(ticket uint64, started bool) {
-	if granted, waits := pool.grants[ticket]; waits {
-		granted <- started
-		delete(pool.grants, ticket)
-	}
-}
-
 func (pool *pool) leave(ticket, shape uint64, took time.Duration) {
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	pool.queue.Done(ticket, took)
+	pool.admission.Leave(ticket, took)
 	if pool.edge.learn(shape, took) {
-		pool.queue.Learned(shape, took)
+		pool.admission.Learned(shape, took)
 	}
-	pool.grant()
 }
 
 // connect takes an idle connection, the one used last first so that the others
