--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -13,7 +13,7 @@
 	// the way to another availability zone, and the wish to keep primaries free for
 	// writes.
 	crossZoneCost = 6.0
-	primaryCost   = 8.0
+	primaryCost   = 30.0
 	// leasedCost is the expected wait behind each statement of this process.
 	leasedCost = 9.0
 	// holdLimit is how long a request waits for a primary that was just lost.
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -12,7 +12,7 @@
 )
 
 // linesPerSecond bounds the log lines about single requests.
-const linesPerSecond = 40
+const linesPerSecond = 20
 
 // counters are the metrics and the log of requests.
 type counters struct {
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -32,6 +32,9 @@
 			return session.brokenRead(err, each), lostRead
 		}
 		lease.pool.learnDelay(time.Since(began), expected)
+		if replies[0].Code() == ebonywood.CodeDone {
+			session.edge.countRead(lease.pool)
+		}
 		return replies[0], judge(replies[0])
 	})
 	if reply.Code() == ebonywood.CodeLagging {
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/ebonywood/ebonywood"
@@ -49,6 +50,26 @@
 	costs     cost.Table
 
 	counters counters
+
+	byReplica atomic.Int64
+	byPrimary atomic.Int64
+}
+
+// Reads counts the reads that replicas and primaries answered.
+func (edge *Edge) Reads() (byReplica, byPrimary int64) {
+	return edge.byReplica.Load(), edge.byPrimary.Load()
+}
+
+// countRead takes note of who answered a read.
+func (edge *Edge) countRead(pool *pool) {
+	view, found := edge.port.Snapshot().View(pool.instance)
+	if found && view.Primary() == pool.member.ID() {
+		edge.byPrimary.Add(1)
+		edge.counters.count("reads", "primary")
+		return
+	}
+	edge.byReplica.Add(1)
+	edge.counters.count("reads", "replica")
 }
 
 // leader is what traffic knows of an instance's primary.
