--- /dev/null
+++ b/internal/edge/directory/mirror_test.go
@@ -0,0 +1,101 @@
+package directory
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+// fakeDirectory answers lists as the test says; what is not set must not be called.
+type fakeDirectory struct {
+	ebonywood.Directory
+	calls atomic.Int64
+	list  func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
+}
+
+func (fake *fakeDirectory) List(ctx context.Context, _ string) ([]ebonywood.Item, int64, error) {
+	return fake.list(ctx, fake.calls.Add(1))
+}
+
+func (fake *fakeDirectory) MemberPrefix() string { return "members/" }
+
+func (fake *fakeDirectory) DecodeMember(item ebonywood.Item) (ebonywood.ListedMember, error) {
+	member := ebonywood.NewMember(ebonywood.MemberID(item.Key()), "a", "10.0.0.1:1", 1, 1, string(item.Value()) == "leaving")
+	return ebonywood.NewListedMember(member, "db", false, item.Revision()), nil
+}
+
+// fakePort offers the directory and drops events.
+type fakePort struct {
+	ebonywood.Port
+	directory *fakeDirectory
+}
+
+func (port fakePort) Directory() ebonywood.Directory              { return port.directory }
+func (port fakePort) Log() logr.Logger                            { return logr.Discard() }
+func (port fakePort) Post(context.Context, ebonywood.Event) error { return nil }
+
+func mirrorOf(t *testing.T, fake *fakeDirectory) *mirror {
+	edge := New(fakePort{directory: fake})
+	t.Cleanup(func() {
+		edge.group.Stop()
+		require.NoError(t, edge.group.Wait())
+	})
+	return newMirror(edge)
+}
+
+// TestListThatHangsIsNotWaitedFor: the first call gets no answer, as one that the
+// directory received while it was away.
+func TestListThatHangsIsNotWaitedFor(t *testing.T) {
+	item := ebonywood.NewItem("members/m0", nil, 3)
+	mirror := mirrorOf(t, &fakeDirectory{list: func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error) {
+		if call == 1 {
+			<-ctx.Done()
+			return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "no answer", "")
+		}
+		return []ebonywood.Item{item}, 7, nil
+	}})
+	require.NoError(t, mirror.relist(context.Background()))
+	require.Equal(t, int64(7), mirror.at)
+	require.Contains(t, mirror.items, "members/m0")
+}
+
+// TestFailedListsEnd once all attempts have failed.
+func TestFailedListsEnd(t *testing.T) {
+	mirror := mirrorOf(t, &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+		return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
+	}})
+	require.Error(t, mirror.relist(context.Background()))
+}
+
+// TestLapsedEntriesAreDroppedInTheEnd: kept right after the directory's return,
+// unless their member was leaving.
+func TestLapsedEntriesAreDroppedInTheEnd(t *testing.T) {
+	mirror := mirrorOf(t, &fakeDirectory{})
+	staying := ebonywood.NewItem("members/m0", nil, 3)
+	leaving := ebonywood.NewItem("members/m1", []byte("leaving"), 4)
+	mirror.items = map[string]ebonywood.Item{staying.Key(): staying, leaving.Key(): leaving}
+	mirror.edge.returned = time.Now()
+	mirror.take(ebonywood.NewDeletedItem(staying.Key(), 5))
+	mirror.take(ebonywood.NewDeletedItem(leaving.Key(), 6))
+	require.Contains(t, mirror.items, staying.Key())
+	require.NotContains(t, mirror.items, leaving.Key())
+	require.False(t, mirror.purge())
+	mirror.edge.returned = time.Now().Add(-2 * lapsedSpan)
+	require.True(t, mirror.purge())
+	require.Empty(t, mirror.items)
+}
+
+// TestOldChangesAreIgnored: a change that a list already covers comes again.
+func TestOldChangesAreIgnored(t *testing.T) {
+	mirror := mirrorOf(t, &fakeDirectory{})
+	mirror.items = map[string]ebonywood.Item{"members/m0": ebonywood.NewItem("members/m0", []byte("new"), 9)}
+	mirror.take(ebonywood.NewItem("members/m0", []byte("old"), 5))
+	mirror.take(ebonywood.NewDeletedItem("members/m0", 6))
+	require.Equal(t, int64(9), mirror.items["members/m0"].Revision())
+}
