Bound what a session and the metrics hold; drop an order that nothing gives

A session keeps 500 settings and 500 prepared statements at most, and 2,000 routes and outcomes have a timer of their own. Demotions were laid down and never ordered: taken out.

--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -11,20 +11,26 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-// linesPerSecond bounds the log lines about single requests.
-const linesPerSecond = 20
+const (
+	// linesPerSecond bounds the log lines about single requests.
+	linesPerSecond = 20
+	// namesCounted bounds the routes and outcomes with a timer of their own.
+	namesCounted = 2000
+)
 
 // counters are the metrics and the log of requests.
 type counters struct {
 	scope  tally.Scope
 	log    logr.Logger
 	byName *sync.Map
+	// names counts the routes and outcomes that have a timer of their own.
+	names  *atomic.Int64
 	second *atomic.Int64
 	lines  *atomic.Int64
 }
 
 func newCounters(scope tally.Scope, log logr.Logger) counters {
-	return counters{scope: scope, log: log, byName: &sync.Map{}, second: &atomic.Int64{}, lines: &atomic.Int64{}}
+	return counters{scope: scope, log: log, byName: &sync.Map{}, names: &atomic.Int64{}, second: &atomic.Int64{}, lines: &atomic.Int64{}}
 }
 
 // count adds one to a counter with one label.
@@ -41,6 +47,10 @@
 func (counters counters) record(route, outcome string, took time.Duration) {
 	key := "request/" + route + "/" + outcome
 	known, found := counters.byName.Load(key)
+	if !found && counters.names.Add(1) > namesCounted {
+		route, key = "other", "request/other/"+outcome
+		known, found = counters.byName.Load(key)
+	}
 	if !found {
 		tagged := counters.scope.Tagged(map[string]string{"route": route, "outcome": outcome})
 		known, _ = counters.byName.LoadOrStore(key, tagged.Timer("request"))
--- a/internal/edge/sessions/link.go
+++ b/internal/edge/sessions/link.go
@@ -1,7 +1,6 @@
 package sessions
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/ebonywood/ebonywood"
@@ -17,10 +16,6 @@
 	resetting = ebonywood.NewOwnStatement(ebonywood.VerbReset, "", "")
 )
 
-func demotion(term ebonywood.Term) ebonywood.Statement {
-	return ebonywood.NewOwnStatement(ebonywood.VerbDemote, strconv.FormatUint(uint64(term), 10), "")
-}
-
 // ahead returns what the connection must be told before it works for the session,
 // and takes note of it. shared is the prepared statement that is needed, if any.
 // Within a transaction a session's settings only grow, so nothing is reset there.
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -214,16 +214,6 @@
 	return ebonywood.Standing{}, fault
 }
 
-// demote asks the member to stop leading below term.
-func (pool *pool) demote(term ebonywood.Term) {
-	each, fault := pool.connect(checkLimit)
-	if fault != nil {
-		return
-	}
-	_, err := each.conn.Exchange([]ebonywood.Statement{demotion(term)}, askLimit)
-	pool.giveBack(each, err != nil)
-}
-
 // suspect finds out over fresh connections whether a member still answers after
 // one of its connections failed.
 func (pool *pool) suspect() {
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -16,6 +16,8 @@
 	busyPause = 12 * time.Millisecond
 	// triesLimit bounds the members that one statement is offered to.
 	triesLimit = 6
+	// keptLimit bounds the settings and the prepared statements of one session.
+	keptLimit = 500
 	// beginLimit bounds the opening of a transaction, which needs no slot.
 	beginLimit = 400 * time.Millisecond
 	// defaultTimeout bounds statements of routes that name no deadline.
@@ -85,6 +87,10 @@
 // keep answers what only changes the session itself.
 func (session *session) keep(statement ebonywood.Statement) (reply ebonywood.Reply, own bool) {
 	state := session.state()
+	if session.isFull(statement) {
+		return ebonywood.NewFailure(ebonywood.CodeMalformed, "the session holds too many settings or prepared statements",
+			state, ebonywood.Position{}), true
+	}
 	switch statement.Verb() {
 	case ebonywood.VerbSet:
 		if session.settings == nil {
@@ -104,6 +110,20 @@
 	return ebonywood.NewReply(nil, "", state, ebonywood.Position{}), true
 }
 
+// isFull reports whether the statement would make the session hold too much.
+func (session *session) isFull(statement ebonywood.Statement) bool {
+	switch statement.Verb() {
+	case ebonywood.VerbSet:
+		_, known := session.settings[statement.Name()]
+		return !known && len(session.settings) >= keptLimit
+	case ebonywood.VerbPrepare:
+		_, known := session.statements[statement.Name()]
+		return !known && len(session.statements) >= keptLimit
+	default:
+		return false
+	}
+}
+
 func newPreparation(definition string) *preparation {
 	return &preparation{
 		name: fmt.Sprintf("p%x", xxhash.Sum64String(definition)), definition: definition,
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -123,11 +123,6 @@
 			edge.pool(action.Instance(), action.Member()).askStanding()
 			return nil
 		})
-	case ebonywood.DemoteMember:
-		edge.group.Go(func(context.Context) error {
-			edge.pool(action.Instance(), action.Member()).demote(action.Term())
-			return nil
-		})
 	default:
 		return false
 	}
--- a/statement.go
+++ b/statement.go
@@ -23,8 +23,6 @@
 	VerbDeallocate
 	// VerbReset clears the settings and prepared names of a connection.
 	VerbReset
-	// VerbDemote makes a primary of an earlier term a replica.
-	VerbDemote
 )
 
 // Statement is one decoded statement.
--- a/succession.go
+++ b/succession.go
@@ -131,30 +131,6 @@
 
 func (AskStanding) isAction() {}
 
-// DemoteMember asks a primary of an earlier term to follow, so that it commits
-// nothing that its successor lacks.
-type DemoteMember struct {
-	instance InstanceID
-	member   Member
-	term     Term
-}
-
-// NewDemoteMember makes the action; term is above the one that the member leads.
-func NewDemoteMember(instance InstanceID, member Member, term Term) DemoteMember {
-	return DemoteMember{instance: instance, member: member, term: term}
-}
-
-// Instance is the member's instance.
-func (action DemoteMember) Instance() InstanceID { return action.instance }
-
-// Member is who is to follow.
-func (action DemoteMember) Member() Member { return action.member }
-
-// Term is the term below which it stops leading.
-func (action DemoteMember) Term() Term { return action.term }
-
-func (DemoteMember) isAction() {}
-
 // PromoteMember asks the platform to make a member the primary of the next term.
 type PromoteMember struct {
 	instance InstanceID
