Keep a failed transaction failed; look at the members anew at its first statement

An execution of an unknown name inside a transaction rolled it back and said so, but the next statement began another one by itself (TestFailedTransactionStaysFailed failed before). A reading transaction chose its member among those known at BEGIN, which may be leaving by its first statement. A lease that found no connection at a crowded member asked again without a pause.

--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -25,6 +25,8 @@
 	// crowdedSpan is how long a member that had no connection left isn't asked for
 	// another one.
 	crowdedSpan ebonywood.Millis = 200
+	// crowdedPause is the wait before a connection that stands is looked for again.
+	crowdedPause = 5 * time.Millisecond
 	// laggedSpan is how long a replica that lacked a floor is passed over for
 	// floors that it is not known to hold.
 	laggedSpan ebonywood.Millis = 150
@@ -105,6 +107,7 @@
 		if !pool.leaveEmpty(ticket) || fault.Kind() != ebonywood.KindOverload {
 			return nil, fault
 		}
+		time.Sleep(crowdedPause)
 	}
 }
 
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -18,7 +18,6 @@
 // first statement, so that a caller who begins and pauses holds none.
 type transaction struct {
 	route    *ebonywood.Route
-	view     *ebonywood.InstanceView
 	readOnly bool
 	began    ebonywood.Millis
 	lastUse  ebonywood.Millis
@@ -34,13 +33,13 @@
 
 // begin opens a transaction without a connection.
 func (session *session) begin(statement ebonywood.Statement) ebonywood.Reply {
-	route, view, refusal := session.route()
+	route, _, refusal := session.route()
 	if route == nil {
 		return refusal
 	}
 	now := session.edge.now()
 	session.tx = &transaction{
-		route: route, view: view, began: now, lastUse: now,
+		route: route, began: now, lastUse: now,
 		readOnly: statement.Verb() == ebonywood.VerbBeginRead,
 	}
 	session.edge.mutex.Lock()
@@ -102,6 +101,7 @@
 	sent, found := session.resolve(statement, each)
 	if !found {
 		session.undo()
+		session.fail()
 		return ebonywood.NewFailure(ebonywood.CodeNoStatement, "no prepared statement has this name",
 			ebonywood.TxFailed, ebonywood.Position{})
 	}
@@ -128,8 +128,12 @@
 			return reply, session.hold(lease, reply, outcome)
 		})
 	}
+	view, found := session.edge.port.Snapshot().View(tx.route.Instances()[0])
+	if !found {
+		return failure(ebonywood.CodeBusy, "no member of the instance is known")
+	}
 	each.asked = tx.began
-	reply := session.onReader(tx.view, each, func(lease *lease) (ebonywood.Reply, verdict) {
+	reply := session.onReader(view, each, func(lease *lease) (ebonywood.Reply, verdict) {
 		reply, outcome := session.open(lease, each, reading.After(each.floor))
 		return reply, session.hold(lease, reply, outcome)
 	})
