Let statements wait for a slot here, and for six tenths of the promise at most

Ruled out: connections (MAXCONN told by the counters only at the start), processor (0.02 of a core). A proxy now keeps its share of four statements a slot under way, two at least; the rest waits in the admission, where it is ordered and refused early.

--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -9,7 +9,7 @@
 const (
 	// waitShare is the share of a route's promised time that a statement may wait
 	// for a connection.
-	waitShare = 0.9
+	waitShare = 0.6
 	// againShare is the same for each further member, if the first share is used up.
 	againShare = 0.25
 )
@@ -26,6 +26,8 @@
 	denied
 	// behind: the member's log lacks the floor; the statement was not run.
 	behind
+	// refused: the statement would wait too long here; another member may do.
+	refused
 	// strayed: the connection did not know a prepared name; not run.
 	strayed
 	// lostBefore: the connection failed before the statement was sent.
@@ -121,6 +123,8 @@
 		pool.release(taken, false)
 		session.edge.deny(pool)
 		session.edge.awaitOther(pool, each.until)
+	case refused:
+		pool.release(taken, false)
 	case behind:
 		pool.markLagging()
 		pool.release(taken, false)
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -52,6 +52,8 @@
 	member   ebonywood.Member
 	// admission lets statements wait for the connections.
 	admission *admission.Admission
+	// slots lets them wait for their turn at the member.
+	slots *admission.Admission
 
 	mutex sync.Mutex
 	idle  []*link
@@ -78,7 +80,7 @@
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
 		edge: edge, instance: instance, member: member,
-		admission: admission.New(1), most: leastConnections,
+		admission: admission.New(1), slots: admission.New(leastSlots), most: leastConnections,
 		working: map[*link]struct{}{},
 	}
 }
@@ -234,7 +236,8 @@
 }
 
 // trim adjusts the pool to its share of the member's connections.
-func (pool *pool) trim(keep, most int) {
+func (pool *pool) trim(keep, most, slots int) {
+	pool.slots.Resize(slots)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
@@ -257,6 +260,7 @@
 	}
 	pool.idle = nil
 	pool.admission.RefuseAll()
+	pool.slots.RefuseAll()
 }
 
 // learnPosition takes the end of the member's log as it last told it.
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -74,7 +74,7 @@
 		keep, most := share(connections, edge.proxies(snapshot))
 		for _, each := range view.Members() {
 			listed[each.Member().ID()] = true
-			edge.pool(view.ID(), each.Member()).trim(keep, most)
+			edge.pool(view.ID(), each.Member()).trim(keep, most, slotsOf(each.Member(), edge.proxies(snapshot)))
 		}
 	}
 	edge.dropUnlisted(listed)
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ebonywood/ebonywood"
 )
 
@@ -27,7 +29,10 @@
 	reply := session.onReader(view, each, func(lease *lease) (ebonywood.Reply, verdict) {
 		expected := session.edge.expect(lease.shape)
 		began := time.Now()
-		replies, err := lease.runRepeatable(lease.ahead(session, each.shared), each.left(), statement.After(each.floor))
+		replies, err := lease.execute(session, each, statement.After(each.floor))
+		if errors.Is(err, errNoSlot) {
+			return noSlot(ebonywood.TxIdle), refused
+		}
 		if err != nil {
 			return session.brokenRead(err, each), lostRead
 		}
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -230,7 +231,10 @@
 func (session *session) write(statement ebonywood.Statement, each *attempt) ebonywood.Reply {
 	return session.onPrimary(each, "write", func(lease *lease) (ebonywood.Reply, verdict) {
 		asked := session.edge.now()
-		replies, err := lease.run(lease.ahead(session, each.shared), each.left(), statement)
+		replies, err := lease.execute(session, each, statement)
+		if errors.Is(err, errNoSlot) {
+			return noSlot(ebonywood.TxIdle), final
+		}
 		if err != nil {
 			return unknownOr(err, each), lost
 		}
@@ -257,7 +261,10 @@
 		if reply.Code() != ebonywood.CodeDone || outcome == lost {
 			return reply, outcome
 		}
-		replies, err := lease.runRepeatable(nil, each.left(), statement, rollback)
+		replies, err := lease.execute(session, each, statement, rollback)
+		if errors.Is(err, errNoSlot) {
+			return session.giveUp(lease)
+		}
 		if err != nil {
 			return session.brokenRead(err, each), lostRead
 		}
@@ -265,6 +272,14 @@
 	})
 }
 
+// giveUp ends the transaction of a strict read that got no slot.
+func (session *session) giveUp(lease *lease) (ebonywood.Reply, verdict) {
+	if _, err := lease.run(nil, rollbackLimit, rollback); err != nil {
+		return noSlot(ebonywood.TxIdle), lostBefore
+	}
+	return noSlot(ebonywood.TxIdle), final
+}
+
 // open begins a transaction on the connection.
 func (session *session) open(lease *lease, each *attempt, begin ebonywood.Statement) (ebonywood.Reply, verdict) {
 	asked := session.edge.now()
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ebonywood/ebonywood"
 )
 
@@ -159,9 +161,10 @@
 	for {
 		each.tries++
 		each.member = tx.lease.pool.member.ID()
-		ahead := tx.lease.ahead(session, each.shared)
-		tx.changed = tx.changed || len(ahead) > 0
-		replies, err := tx.lease.run(ahead, each.left(), statement)
+		replies, err := tx.lease.execute(session, each, statement)
+		if errors.Is(err, errNoSlot) {
+			return noSlot(ebonywood.TxOpen)
+		}
 		if err != nil {
 			session.drop(true)
 			session.fail()
@@ -215,7 +218,11 @@
 	for {
 		each.tries++
 		asked := session.edge.now()
-		replies, err := tx.lease.run(nil, each.left(), statement)
+		replies, err := tx.lease.execute(session, each, statement)
+		if errors.Is(err, errNoSlot) {
+			session.undo()
+			return noSlot(ebonywood.TxIdle)
+		}
 		if err != nil {
 			session.drop(true)
 			if !tx.wrote {
