--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 
 # The packages with goroutines, under the race detector.
 race:
-	$(GO) test -race -short $(SKIP) ./internal/...
+	$(GO) test -race -short $(SKIP) ./internal/... ./platform/...
 
 $(GOFUMPT):
 	GOBIN=$(TOOLS) $(GO) install mvdan.cc/gofumpt@v0.12.0
@@ -51,6 +51,10 @@
 	$(GO) test -run xxx -fuzz FuzzReader -fuzztime $(FUZZTIME) ./internal/frame
 	$(GO) test -run xxx -fuzz FuzzRequest -fuzztime $(FUZZTIME) ./internal/edge/caller
 	$(GO) test -run xxx -fuzz FuzzWire -fuzztime $(FUZZTIME) ./internal/edge/peer
+	$(GO) test -run xxx -fuzz FuzzStatement -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/settings
+	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/store
 
 # Long runs: make soak SEED=1 SEEDS=10 STEPS=100000
 SEED ?= 1
