Serve each instance by some of the proxies, and send the others' work there

Ways weighed: a remote connection behind MemberConn, which leaves freshness and queues at every proxy and needs samples by all of them; the whole session at another proxy, which is lost with it. Chosen: the session stays at its entry as data and travels with each piece of work; freshness, queues and connections are those of the proxy that serves. A fleet of up to eight serves everything everywhere and forwards nothing.

Only those that serve an instance, and the duty's holder, watch its members; votes on a dead primary are counted among them.

--- a/directory.go
+++ b/directory.go
@@ -113,22 +113,30 @@
 
 // NodeReport is what one proxy says of itself in the directory.
 type NodeReport struct {
-	name     string
+	peer     PeerView
 	suspects []MemberID
+	leaving  bool
 }
 
-// NewNodeReport makes a report; suspects are the members that the proxy can't
-// reach.
-func NewNodeReport(name string, suspects []MemberID) NodeReport {
-	return NodeReport{name: name, suspects: suspects}
+// NewNodeReport makes a report of a proxy; suspects are the members that it can't
+// reach, and leaving says that it is on its way out.
+func NewNodeReport(peer PeerView, suspects []MemberID, leaving bool) NodeReport {
+	return NodeReport{peer: peer, suspects: suspects, leaving: leaving}
 }
 
 // Name names the proxy.
-func (report NodeReport) Name() string { return report.name }
+func (report NodeReport) Name() string { return report.peer.Name() }
+
+// Peer is the proxy with its availability zone and its address for others, which
+// is empty if it serves none.
+func (report NodeReport) Peer() PeerView { return report.peer }
 
 // Suspects are the members that the proxy can't reach.
 func (report NodeReport) Suspects() []MemberID { return report.suspects }
 
+// IsLeaving reports whether the proxy is on its way out.
+func (report NodeReport) IsLeaving() bool { return report.leaving }
+
 // NodesListed is the reports of all live proxies, this one's included.
 type NodesListed struct {
 	reports []NodeReport
@@ -191,6 +199,11 @@
 
 func (AnnounceSuspects) isAction() {}
 
+// AnnounceLeaving writes into this process's report that it is on its way out.
+type AnnounceLeaving struct{}
+
+func (AnnounceLeaving) isAction() {}
+
 // RenewToken asks for a greater fencing token, so that earlier orders without an
 // answer can't take effect after the next one.
 type RenewToken struct{}
--- /dev/null
+++ b/internal/decision/placement/placement_test.go
@@ -0,0 +1,107 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+func peer(number, zones int) ebonywood.PeerView {
+	return ebonywood.NewPeerView(fmt.Sprintf("p%03d", number), fmt.Sprintf("z%d", number%zones), fmt.Sprintf("10.0.0.%d:7441", number))
+}
+
+func reports(proxies, zones int) ebonywood.NodesListed {
+	var listed []ebonywood.NodeReport
+	for i := range proxies {
+		listed = append(listed, ebonywood.NewNodeReport(peer(i, zones), nil, false))
+	}
+	return ebonywood.NewNodesListed(listed)
+}
+
+func set(instances, connections int) ebonywood.SetAccepted {
+	var all []ebonywood.Instance
+	for i := range instances {
+		all = append(all, ebonywood.NewInstance(ebonywood.InstanceID(fmt.Sprintf("db%d", i)), nil).WithLimits(connections, 0))
+	}
+	return ebonywood.NewSetAccepted(ebonywood.NewObjectSet(1, "", nil, all, nil))
+}
+
+// place has the given proxy decide among so many.
+func place(self, proxies, zones, instances, connections int) *Placement {
+	placement := New(peer(self, zones))
+	placement.Handle(0, set(instances, connections))
+	placement.Handle(0, reports(proxies, zones))
+	return placement
+}
+
+func TestSmallFleetsServeEverythingEverywhere(t *testing.T) {
+	for _, size := range []struct{ proxies, zones int }{{1, 1}, {6, 4}, {7, 3}, {8, 1}} {
+		placement := place(0, size.proxies, size.zones, 3, 22)
+		require.Len(t, placement.owners.Of("db0"), size.proxies, "%+v", size)
+	}
+}
+
+// TestAllAgree on the servers of each instance, of which each zone has some, and
+// no proxy serves far more than others.
+func TestAllAgree(t *testing.T) {
+	const proxies, zones, instances = 74, 3, 8
+	first := place(0, proxies, zones, instances, 46)
+	load := map[string]int{}
+	for i := 1; i < proxies; i++ {
+		require.Equal(t, first.owners.All(), place(i, proxies, zones, instances, 46).owners.All())
+	}
+	for _, servers := range first.owners.All() {
+		byZone := map[string]int{}
+		for _, peer := range servers {
+			byZone[peer.Zone()]++
+			load[peer.Name()]++
+		}
+		require.Len(t, byZone, zones)
+		require.Len(t, servers, 9)
+	}
+	for name, count := range load {
+		require.LessOrEqual(t, count, instances/2, name)
+	}
+}
+
+// TestFewConnectionsMeanFewServers, down to one in each zone.
+func TestFewConnectionsMeanFewServers(t *testing.T) {
+	require.Len(t, place(0, 30, 3, 1, 8).owners.Of("db0"), 3)
+	require.Len(t, place(0, 30, 3, 1, 3).owners.Of("db0"), 3)
+	require.Len(t, place(0, 30, 1, 1, 3).owners.Of("db0"), 1)
+}
+
+// TestLossMovesLittle: only what the lost proxy served is served by another.
+func TestLossMovesLittle(t *testing.T) {
+	placement := place(0, 74, 3, 8, 46)
+	before := placement.owners
+	lost := before.Of("db0")[0]
+	var left []ebonywood.NodeReport
+	for i := range 74 {
+		if peer(i, 3) != lost {
+			left = append(left, ebonywood.NewNodeReport(peer(i, 3), nil, false))
+		}
+	}
+	actions := placement.Handle(0, ebonywood.NewNodesListed(left))
+	require.Len(t, actions, 1)
+	for id, servers := range placement.owners.All() {
+		for _, each := range before.Of(id) {
+			require.True(t, each == lost || placement.owners.Has(id, each.Name()), "%s lost %s", id, each.Name())
+		}
+		require.Len(t, servers, 9)
+	}
+	require.Empty(t, placement.Handle(0, ebonywood.NewNodesListed(left)), "nothing changed")
+}
+
+func TestLeavingProxyServesNothing(t *testing.T) {
+	placement := place(0, 7, 3, 1, 22)
+	require.Equal(t, []ebonywood.Action{ebonywood.AnnounceLeaving{}}, placement.Handle(0, ebonywood.DrainAsked{}))
+	listed := reports(7, 3).Reports()
+	listed[0] = ebonywood.NewNodeReport(peer(0, 3), nil, true)
+	placement.Handle(0, ebonywood.NewNodesListed(listed))
+	require.False(t, placement.owners.Has("db0", "p000"))
+	require.Len(t, placement.owners.Of("db0"), 6)
+}
--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -24,6 +24,8 @@
 	primary      ebonywood.MemberID
 	term         ebonywood.Term
 	syncReplicas int
+	// watched says that this process has to know who leads.
+	watched bool
 	// lostAt is since when the primary is unknown or out of reach.
 	lostAt ebonywood.Millis
 	// missingAt is since when the primary is not on the list; 0 while it is.
@@ -49,6 +51,17 @@
 	return nil
 }
 
+// forget drops what was believed of the primary.
+func (each *instance) forget(now ebonywood.Millis) {
+	each.primary = ""
+	each.lostAt, each.missingAt, each.asked = now, 0, 0
+	each.change = nil
+	each.cached = nil
+	for _, other := range each.members {
+		other.unreachable = false
+	}
+}
+
 // list takes the members that the directory names. Who newly claims to lead is
 // asked at once.
 func (each *instance) list(now ebonywood.Millis, listed []ebonywood.ListedMember) []ebonywood.Action {
@@ -61,7 +74,7 @@
 			next.unreachable = before.unreachable
 		}
 		claims := entry.ClaimsPrimary() && (before == nil || !before.listed.ClaimsPrimary())
-		if claims && entry.Member().ID() != each.primary {
+		if each.watched && claims && entry.Member().ID() != each.primary {
 			actions = append(actions, ebonywood.NewAskLead(each.id, entry.Member()))
 		}
 		members = append(members, next)
@@ -166,6 +179,9 @@
 
 // ask looks for the primary while none is known or the known one is in doubt.
 func (each *instance) ask(now ebonywood.Millis) []ebonywood.Action {
+	if !each.watched {
+		return nil
+	}
 	if each.primary != "" && !each.isPrimaryLost() && each.missingAt == 0 && each.change == nil {
 		return nil
 	}
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -52,6 +52,7 @@
 	self      string
 	instances map[ebonywood.InstanceID]*instance
 	reports   []ebonywood.NodeReport
+	owners    *ebonywood.Owners
 	token     int64
 	// refused is a token that the platform does not accept any more.
 	refused   int64
@@ -63,7 +64,7 @@
 
 // New makes the decision of the named proxy.
 func New(self string) *Succession {
-	return &Succession{self: self, instances: map[ebonywood.InstanceID]*instance{}}
+	return &Succession{self: self, instances: map[ebonywood.InstanceID]*instance{}, owners: &ebonywood.Owners{}}
 }
 
 // Handle takes one event.
@@ -75,8 +76,11 @@
 		decision.limit(now, event.Set())
 	case ebonywood.NodesListed:
 		decision.reports = event.Reports()
+	case ebonywood.OwnersChanged:
+		decision.owners = event.Owners()
+		decision.watch(now)
 	case ebonywood.DutyChanged:
-		return decision.takeDuty(event)
+		return decision.takeDuty(now, event)
 	case ebonywood.DirectoryChanged:
 		decision.away, decision.awaySince = !event.IsReachable(), now
 	case ebonywood.LeadSeen:
@@ -107,7 +111,7 @@
 
 // takeDuty notes the token. What was ordered under an earlier one is begun anew,
 // since the platform refuses it from now on.
-func (decision *Succession) takeDuty(event ebonywood.DutyChanged) []ebonywood.Action {
+func (decision *Succession) takeDuty(now ebonywood.Millis, event ebonywood.DutyChanged) []ebonywood.Action {
 	decision.token = 0
 	if event.IsHeld() {
 		decision.token = event.Token()
@@ -115,9 +119,41 @@
 	for _, each := range decision.instances {
 		each.change = nil
 	}
+	decision.watch(now)
 	return []ebonywood.Action{ebonywood.NewNote("duty", "held", event.IsHeld(), "token", event.Token())}
 }
 
+// watch decides which instances this process watches: those that it serves and, as
+// the holder of the duty, all. What was believed of one that was not watched is out
+// of date.
+func (decision *Succession) watch(now ebonywood.Millis) {
+	for id, each := range decision.instances {
+		watched := decision.token != 0 || decision.isServed(id)
+		if watched != each.watched {
+			each.watched = watched
+			each.forget(now)
+		}
+	}
+}
+
+// isServed reports whether this process serves the instance. Where no proxy is
+// known to serve it, each does.
+func (decision *Succession) isServed(id ebonywood.InstanceID) bool {
+	_, found := decision.owners.Rank(id)
+	return found || len(decision.owners.Of(id)) == 0
+}
+
+// voters are the reports that count for an instance: of the proxies that serve it,
+// since the others have no connection to its members.
+func (decision *Succession) voters(id ebonywood.InstanceID) []ebonywood.NodeReport {
+	if len(decision.owners.Of(id)) == 0 {
+		return decision.reports
+	}
+	return slices.DeleteFunc(slices.Clone(decision.reports), func(report ebonywood.NodeReport) bool {
+		return !decision.owners.Has(id, report.Name())
+	})
+}
+
 // list replaces the members of all instances.
 func (decision *Succession) list(now ebonywood.Millis, listed []ebonywood.ListedMember) []ebonywood.Action {
 	byInstance := map[ebonywood.InstanceID][]ebonywood.ListedMember{}
@@ -126,7 +162,7 @@
 	}
 	for id := range byInstance {
 		if _, known := decision.instances[id]; !known {
-			decision.instances[id] = &instance{id: id, lostAt: now}
+			decision.instances[id] = decision.newInstance(id, now)
 		}
 	}
 	var actions []ebonywood.Action
@@ -142,10 +178,16 @@
 			each.syncReplicas = configured.SyncReplicas()
 			continue
 		}
-		decision.instances[configured.ID()] = &instance{id: configured.ID(), lostAt: now, syncReplicas: configured.SyncReplicas()}
+		each := decision.newInstance(configured.ID(), now)
+		each.syncReplicas = configured.SyncReplicas()
+		decision.instances[configured.ID()] = each
 	}
 }
 
+func (decision *Succession) newInstance(id ebonywood.InstanceID, now ebonywood.Millis) *instance {
+	return &instance{id: id, lostAt: now, watched: decision.token != 0 || decision.isServed(id)}
+}
+
 // announce reports the primaries that this process can't reach when they change.
 func (decision *Succession) announce() []ebonywood.Action {
 	var suspects []ebonywood.MemberID
@@ -189,8 +231,8 @@
 	if !decision.away || now-decision.awaySince < isolatedSpan {
 		return false
 	}
-	for _, each := range decision.instances {
-		if each.lostAt > 0 && now-each.lostAt > isolatedSpan && len(each.members) > 0 {
+	for id, each := range decision.instances {
+		if decision.isServed(id) && each.lostAt > 0 && now-each.lostAt > isolatedSpan && len(each.members) > 0 {
 			return true
 		}
 	}
@@ -231,7 +273,7 @@
 		return lost && now-each.lostAt > aloneSpan && each.reachesOthers()
 	}
 	votes, voters := 0, 0
-	for _, report := range decision.reports {
+	for _, report := range decision.voters(each.id) {
 		if report.Name() == decision.self {
 			continue
 		}
@@ -257,4 +299,5 @@
 	}
 	draft.SetReports(len(decision.reports))
 	draft.SetIsolated(decision.isolated)
+	draft.SetDuty(decision.token != 0)
 }
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -56,9 +56,9 @@
 
 // report has the other proxies suspect members.
 func (drive *driver) report(others ...[]ebonywood.MemberID) {
-	reports := []ebonywood.NodeReport{ebonywood.NewNodeReport("p0", nil)}
+	reports := []ebonywood.NodeReport{ebonywood.NewNodeReport(ebonywood.NewPeerView("p0", "a", ""), nil, false)}
 	for i, suspects := range others {
-		reports = append(reports, ebonywood.NewNodeReport(fmt.Sprintf("p%d", i+1), suspects))
+		reports = append(reports, ebonywood.NewNodeReport(ebonywood.NewPeerView(fmt.Sprintf("p%d", i+1), "a", ""), suspects, false))
 	}
 	drive.send(ebonywood.NewNodesListed(reports))
 }
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -67,6 +67,7 @@
 	answered time.Time
 	lease    ebonywood.LeaseID
 	suspects []ebonywood.MemberID
+	leaving  bool
 	written  bool
 	duty     ebonywood.Item
 	held     bool
@@ -76,7 +77,10 @@
 // nodeValue is the form of a proxy's own key.
 type nodeValue struct {
 	Name     string   `json:"name"`
-	Suspects []string `json:"suspects"`
+	Zone     string   `json:"zone"`
+	Address  string   `json:"address"`
+	Suspects []string `json:"suspects,omitempty"`
+	Leaving  bool     `json:"leaving,omitempty"`
 }
 
 // dutyValue is the form of the duty's key.
@@ -122,6 +126,9 @@
 	case ebonywood.AnnounceSuspects:
 		edge.suspects = action.Suspects()
 		edge.written = false
+	case ebonywood.AnnounceLeaving:
+		edge.leaving = true
+		edge.written = false
 	case ebonywood.RenewToken:
 		edge.renew = true
 	default:
@@ -219,7 +226,8 @@
 		for _, each := range value.Suspects {
 			suspects = append(suspects, ebonywood.MemberID(each))
 		}
-		reports = append(reports, ebonywood.NewNodeReport(value.Name, suspects))
+		peer := ebonywood.NewPeerView(value.Name, value.Zone, value.Address)
+		reports = append(reports, ebonywood.NewNodeReport(peer, suspects, value.Leaving))
 	}
 	slices.SortFunc(reports, func(left, right ebonywood.NodeReport) int {
 		return strings.Compare(left.Name(), right.Name())
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -98,7 +98,8 @@
 	limited, cancel := context.WithTimeout(ctx, callLimit)
 	defer cancel()
 	edge.mutex.Lock()
-	value := nodeValue{Name: edge.port.Settings().Name()}
+	settings := edge.port.Settings()
+	value := nodeValue{Name: settings.Name(), Zone: settings.Zone(), Address: settings.PeerAddress(), Leaving: edge.leaving}
 	for _, each := range edge.suspects {
 		value.Suspects = append(value.Suspects, string(each))
 	}
--- a/internal/edge/peer/wire.go
+++ b/internal/edge/peer/wire.go
@@ -3,10 +3,8 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-	"storj.io/drpc"
-
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/cborwire"
 )
 
 // protocolVersion grows with each change that an older proxy could misread.
@@ -23,34 +21,7 @@
 	rpcCancel = "ebonywood.cancel"
 )
 
-// Bounds of what is decoded.
-const (
-	maxElements = 100_000
-	maxNesting  = 8
-)
-
-// encoding is CBOR with bounds, for drpc.
-type encoding struct {
-	decode cbor.DecMode
-}
-
-var wire = newEncoding()
-
-func newEncoding() encoding {
-	decode, err := cbor.DecOptions{MaxArrayElements: maxElements, MaxMapPairs: maxElements, MaxNestedLevels: maxNesting}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return encoding{decode: decode}
-}
-
-// Marshal encodes a message.
-func (encoding) Marshal(message drpc.Message) ([]byte, error) { return cbor.Marshal(message) }
-
-// Unmarshal decodes a message.
-func (encoding encoding) Unmarshal(text []byte, message drpc.Message) error {
-	return encoding.decode.Unmarshal(text, message)
-}
+var wire cborwire.Encoding
 
 type updateMessage struct {
 	Name        string `cbor:"1,keyasint"`
--- /dev/null
+++ b/internal/edge/relay/message.go
@@ -0,0 +1,96 @@
+package relay
+
+import (
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/cborwire"
+)
+
+// protocolVersion grows with each change that an older proxy could misread.
+const protocolVersion = 1
+
+// rpcWork is the only procedure: a stream that carries pieces of work one after
+// the other.
+const rpcWork = "ebonywood.work"
+
+var wire cborwire.Encoding
+
+// workMessage is a piece of work. Spans are in milliseconds.
+type workMessage struct {
+	Version    int               `cbor:"1,keyasint"`
+	Database   string            `cbor:"2,keyasint"`
+	Generation uint64            `cbor:"3,keyasint"`
+	Settings   map[string]string `cbor:"4,keyasint,omitempty"`
+	FloorTerm  uint64            `cbor:"5,keyasint,omitempty"`
+	Floor      uint64            `cbor:"6,keyasint,omitempty"`
+	WroteAge   int64             `cbor:"7,keyasint,omitempty"`
+	ID         string            `cbor:"8,keyasint"`
+	Verb       uint8             `cbor:"9,keyasint"`
+	Text       string            `cbor:"10,keyasint"`
+	Name       string            `cbor:"11,keyasint,omitempty"`
+	Value      string            `cbor:"12,keyasint,omitempty"`
+	Definition string            `cbor:"13,keyasint,omitempty"`
+	Begin      uint8             `cbor:"14,keyasint,omitempty"`
+	BeganAge   int64             `cbor:"15,keyasint,omitempty"`
+}
+
+// doneMessage is the outcome of a piece of work.
+type doneMessage struct {
+	Refused   string   `cbor:"1,keyasint,omitempty"`
+	Code      uint8    `cbor:"2,keyasint,omitempty"`
+	Rows      []string `cbor:"3,keyasint,omitempty"`
+	Signature string   `cbor:"4,keyasint,omitempty"`
+	Message   string   `cbor:"5,keyasint,omitempty"`
+	State     uint8    `cbor:"6,keyasint"`
+	Term      uint64   `cbor:"7,keyasint,omitempty"`
+	Offset    uint64   `cbor:"8,keyasint,omitempty"`
+	FloorTerm uint64   `cbor:"9,keyasint,omitempty"`
+	Floor     uint64   `cbor:"10,keyasint,omitempty"`
+	WroteAge  int64    `cbor:"11,keyasint,omitempty"`
+}
+
+func encodeWork(work ebonywood.Work) *workMessage {
+	state, statement := work.State(), work.Statement()
+	return &workMessage{
+		Version: protocolVersion, Database: state.Database(), Generation: state.Generation(), Settings: state.Settings(),
+		FloorTerm: uint64(state.Floor().Term()), Floor: state.Floor().Offset(), WroteAge: int64(state.WroteAge()),
+		ID: statement.ID(), Verb: uint8(statement.Verb()), Text: statement.Text(), Name: statement.Name(), Value: statement.Value(),
+		Definition: work.Definition(), Begin: uint8(work.Begin()), BeganAge: int64(work.BeganAge()),
+	}
+}
+
+func (message *workMessage) decode() ebonywood.Work {
+	floor := ebonywood.NewPosition(ebonywood.Term(message.FloorTerm), message.Floor)
+	state := ebonywood.NewSessionState(message.Database, message.Generation, message.Settings, floor, ebonywood.Millis(message.WroteAge))
+	statement := ebonywood.NewStatement(message.ID, ebonywood.Verb(message.Verb), message.Text, message.Name, message.Value)
+	work := ebonywood.NewWork(state, statement, message.Definition)
+	if begin := ebonywood.Verb(message.Begin); begin != ebonywood.VerbOther {
+		work = work.InTransaction(begin, ebonywood.Millis(message.BeganAge))
+	}
+	return work
+}
+
+func encodeDone(done ebonywood.WorkDone) *doneMessage {
+	reply := done.Reply()
+	return &doneMessage{
+		Refused: done.Refused(), Code: uint8(reply.Code()), Rows: reply.Rows(), Signature: reply.Signature(),
+		Message: reply.Message(), State: uint8(reply.State()), Term: uint64(reply.Position().Term()),
+		Offset: reply.Position().Offset(), FloorTerm: uint64(done.Floor().Term()), Floor: done.Floor().Offset(),
+		WroteAge: int64(done.WroteAge()),
+	}
+}
+
+func (message *doneMessage) decode() ebonywood.WorkDone {
+	if message.Refused != "" {
+		return ebonywood.NewWorkRefused(message.Refused)
+	}
+	at := ebonywood.NewPosition(ebonywood.Term(message.Term), message.Offset)
+	state := ebonywood.TxState(message.State)
+	var reply ebonywood.Reply
+	if code := ebonywood.Code(message.Code); code == ebonywood.CodeDone {
+		reply = ebonywood.NewReply(message.Rows, message.Signature, state, at)
+	} else {
+		reply = ebonywood.NewFailure(code, message.Message, state, at)
+	}
+	floor := ebonywood.NewPosition(ebonywood.Term(message.FloorTerm), message.Floor)
+	return ebonywood.NewWorkDone(reply, floor, ebonywood.Millis(message.WroteAge))
+}
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -75,9 +75,11 @@
 // and logs the grounds when it did not simply succeed at the first member.
 func (edge *Edge) account(statement ebonywood.Statement, each *attempt, reply ebonywood.Reply) {
 	took := time.Since(each.began)
-	edge.counters.record(each.route.Name(), reply.Code().String(), took)
 	done := reply.Code() == ebonywood.CodeDone
-	edge.port.Levels().Record(each.route.Name(), each.route.Objective(), done, took, edge.now())
+	if !each.guest {
+		edge.counters.record(each.route.Name(), reply.Code().String(), took)
+		edge.port.Levels().Record(each.route.Name(), each.route.Objective(), done, took, edge.now())
+	}
 	if done && each.tries <= 1 {
 		return
 	}
@@ -91,7 +93,7 @@
 		term = view.Term()
 	}
 	edge.counters.line("request", "id", statement.ID(), "route", each.route.Name(), "instance", instance,
-		"outcome", reply.Code().String(), "why", reply.Message(), "member", each.member, "tries", each.tries,
+		"outcome", reply.Code().String(), "why", reply.Message(), "member", each.member, "peer", each.peer, "guest", each.guest, "tries", each.tries,
 		"floor", each.floor.String(), "sampleAgeMs", int64(edge.sampleAge(instance)), "generation", generation,
 		"term", uint64(term), "tookMs", took.Milliseconds())
 }
--- /dev/null
+++ b/internal/edge/sessions/forward_test.go
@@ -0,0 +1,228 @@
+package sessions
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/burn"
+	"github.com/ebonywood/ebonywood/internal/clock"
+)
+
+const db ebonywood.InstanceID = "db"
+
+// port is a kernel with one route to an instance that two other proxies serve.
+type port struct {
+	ebonywood.Port
+	snapshot *ebonywood.Snapshot
+	relay    *relay
+	levels   burn.Ledger
+	clock    clock.Monotonic
+}
+
+type settings struct {
+	ebonywood.Settings
+}
+
+func (settings) Zone() string { return "a" }
+
+func (port *port) Snapshot() *ebonywood.Snapshot { return port.snapshot }
+func (port *port) Relay() ebonywood.Relay        { return port.relay }
+func (port *port) Levels() ebonywood.Levels      { return &port.levels }
+func (port *port) Clock() ebonywood.Clock        { return port.clock }
+func (port *port) Settings() ebonywood.Settings  { return settings{} }
+func (port *port) Log() logr.Logger              { return logr.Discard() }
+func (port *port) Metrics() tally.Scope          { return tally.NoopScope }
+
+func newPort() *port {
+	near, far := ebonywood.NewPeerView("near", "a", "near"), ebonywood.NewPeerView("far", "b", "far")
+	owners := ebonywood.NewOwners("self", map[ebonywood.InstanceID][]ebonywood.PeerView{db: {far, near}}, nil)
+	policy := ebonywood.NewReadPolicy("p", 1000, ebonywood.StalePrimary)
+	route := ebonywood.NewRoute("r", "", "shop", []ebonywood.InstanceID{db}, policy, 1000, 1, false, false, ebonywood.Objective{})
+	instance := ebonywood.NewInstance(db, nil)
+	draft := ebonywood.NewDraft()
+	draft.SetObjects(ebonywood.NewObjectSet(3, "", nil, []ebonywood.Instance{instance}, []*ebonywood.Route{route}))
+	draft.SetOwners(owners)
+	draft.AddView(ebonywood.NewInstanceView(db, 1, "", false, nil, nil))
+	return &port{snapshot: draft.Publish(), relay: &relay{fates: map[string][]fate{}}}
+}
+
+// fate is what becomes of one piece of work at a proxy.
+type fate uint8
+
+const (
+	done fate = iota
+	unreachable
+	refusing
+	losing
+)
+
+// relay plays the proxies that serve: their fates in order, then done.
+type relay struct {
+	fates  map[string][]fate
+	works  []ebonywood.Work
+	peers  []string
+	broken int
+}
+
+type channel struct {
+	relay  *relay
+	peer   string
+	inside bool
+}
+
+func (relay *relay) next(peer string) fate {
+	fates := relay.fates[peer]
+	if len(fates) == 0 {
+		return done
+	}
+	relay.fates[peer] = fates[1:]
+	return fates[0]
+}
+
+func (relay *relay) Open(peer ebonywood.PeerView, _ time.Duration) (ebonywood.Channel, error) {
+	if fates := relay.fates[peer.Name()]; len(fates) > 0 && fates[0] == unreachable {
+		relay.fates[peer.Name()] = fates[1:]
+		return nil, errors.New("connection refused")
+	}
+	return &channel{relay: relay, peer: peer.Name()}, nil
+}
+
+func (channel *channel) Exchange(work ebonywood.Work, _ time.Duration) (ebonywood.WorkDone, error) {
+	relay := channel.relay
+	relay.works = append(relay.works, work)
+	relay.peers = append(relay.peers, channel.peer)
+	switch relay.next(channel.peer) {
+	case losing:
+		return ebonywood.WorkDone{}, errors.New("connection reset")
+	case refusing:
+		return ebonywood.NewWorkRefused("the proxy is leaving"), nil
+	}
+	if work.Begin() != ebonywood.VerbOther {
+		channel.inside = true
+	}
+	state := ebonywood.TxIdle
+	if verb := work.Statement().Verb(); verb == ebonywood.VerbCommit || verb == ebonywood.VerbRollback {
+		channel.inside = false
+	}
+	if channel.inside {
+		state = ebonywood.TxOpen
+	}
+	floor := ebonywood.NewPosition(1, uint64(len(relay.works)))
+	return ebonywood.NewWorkDone(ebonywood.NewReply(nil, "signed", state, floor), floor, 0), nil
+}
+
+func (channel *channel) Release(broken bool) {
+	if broken {
+		channel.relay.broken++
+	}
+}
+
+var (
+	read     = ebonywood.NewStatement("1", ebonywood.VerbRead, "READ a", "", "")
+	write    = ebonywood.NewStatement("2", ebonywood.VerbWrite, "WRITE a b", "", "")
+	begin    = ebonywood.NewStatement("3", ebonywood.VerbBegin, "BEGIN", "", "")
+	commit   = ebonywood.NewStatement("4", ebonywood.VerbCommit, "COMMIT", "", "")
+	rollBack = ebonywood.NewStatement("5", ebonywood.VerbRollback, "ROLLBACK", "", "")
+)
+
+// TestOutcomesOfForwardedWork: what the caller is told for each way in which work
+// at another proxy can end. Nothing is promised that is not proved.
+func TestOutcomesOfForwardedWork(t *testing.T) {
+	for name, test := range map[string]struct {
+		near, far  []fate
+		statements []ebonywood.Statement
+		codes      []ebonywood.Code
+		state      ebonywood.TxState
+		ran        []string
+	}{
+		"nearest first":        {statements: []ebonywood.Statement{read}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"near"}},
+		"unreachable":          {near: []fate{unreachable}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"far"}},
+		"refusing":             {near: []fate{refusing}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"near", "far"}},
+		"none":                 {near: []fate{unreachable}, far: []fate{unreachable}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeBusy}},
+		"lost read":            {near: []fate{losing}, statements: []ebonywood.Statement{read}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"near", "far"}},
+		"lost write":           {near: []fate{losing}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeUnknown}, ran: []string{"near"}},
+		"lost first statement": {near: []fate{losing}, statements: []ebonywood.Statement{begin, write}, codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeAborted}, state: ebonywood.TxFailed, ran: []string{"near"}},
+		"lost statement": {
+			near: []fate{done, losing}, statements: []ebonywood.Statement{begin, write, read, rollBack},
+			codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeDone, ebonywood.CodeAborted, ebonywood.CodeDone}, ran: []string{"near", "near"},
+		},
+		"lost commit of a write": {
+			near: []fate{done, losing}, statements: []ebonywood.Statement{begin, write, commit},
+			codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeDone, ebonywood.CodeUnknown}, ran: []string{"near", "near"},
+		},
+		"lost commit of a read": {
+			near: []fate{done, losing}, statements: []ebonywood.Statement{begin, read, commit},
+			codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeDone, ebonywood.CodeAborted}, ran: []string{"near", "near"},
+		},
+		"transaction begins elsewhere": {
+			near: []fate{refusing}, statements: []ebonywood.Statement{begin, write, read, commit},
+			codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeDone, ebonywood.CodeDone, ebonywood.CodeDone}, ran: []string{"near", "far", "far", "far"},
+		},
+		"transaction begins nowhere": {
+			near: []fate{unreachable}, far: []fate{refusing}, statements: []ebonywood.Statement{begin, write, commit},
+			codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeAborted, ebonywood.CodeAborted}, ran: []string{"far"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			port := newPort()
+			port.relay.fates["near"], port.relay.fates["far"] = test.near, test.far
+			session, code := New(port).Open("shop")
+			require.Equal(t, ebonywood.CodeDone, code)
+			var reply ebonywood.Reply
+			for i, statement := range test.statements {
+				reply = session.Handle(statement)
+				require.Equal(t, test.codes[i], reply.Code(), "%d: %s", i, reply.Message())
+			}
+			if test.state == 0 {
+				test.state = ebonywood.TxIdle
+			}
+			require.Equal(t, test.state, reply.State())
+			require.Equal(t, test.state == ebonywood.TxIdle, session.IsIdle())
+			require.Equal(t, test.ran, port.relay.peers)
+		})
+	}
+}
+
+// TestWorkCarriesTheSession: the floor that one piece of work leaves goes along with
+// the next, and the settings with both.
+func TestWorkCarriesTheSession(t *testing.T) {
+	port := newPort()
+	session, _ := New(port).Open("shop")
+	session.Handle(ebonywood.NewStatement("0", ebonywood.VerbSet, "SET zone bole", "zone", "bole"))
+	session.Handle(write)
+	session.Handle(read)
+	first, second := port.relay.works[0].State(), port.relay.works[1].State()
+	require.Equal(t, map[string]string{"zone": "bole"}, first.Settings())
+	require.Equal(t, first.Settings(), second.Settings())
+	require.Equal(t, ebonywood.NewPosition(1, 1), second.Floor())
+	require.Equal(t, uint64(3), second.Generation())
+	require.Equal(t, "READ a", port.relay.works[1].Statement().Text())
+}
+
+// TestAbandonedWorkIsRolledBack where it runs.
+func TestAbandonedWorkIsRolledBack(t *testing.T) {
+	port := newPort()
+	session, _ := New(port).Open("shop")
+	session.Handle(begin)
+	session.Handle(write)
+	session.Abandon()
+	require.Equal(t, ebonywood.VerbRollback, port.relay.works[1].Statement().Verb())
+	require.Zero(t, port.relay.broken)
+	require.True(t, session.IsIdle())
+}
+
+// TestFailedProxyIsPassedOver while there is another one.
+func TestFailedProxyIsPassedOver(t *testing.T) {
+	port := newPort()
+	port.relay.fates["near"] = []fate{losing}
+	session, _ := New(port).Open("shop")
+	session.Handle(write)
+	session.Handle(write)
+	require.Equal(t, []string{"near", "far"}, port.relay.peers)
+}
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -66,27 +66,56 @@
 		if !found {
 			continue
 		}
-		edge.refresh(view)
-		connections := configured.Connections()
-		if connections == 0 {
-			connections = defaultConnections
-		}
-		keep, most := share(connections, edge.proxies(snapshot))
 		for _, each := range view.Members() {
 			listed[each.Member().ID()] = true
-			edge.pool(view.ID(), each.Member()).trim(keep, most, slotsOf(each.Member(), edge.proxies(snapshot)))
 		}
+		if snapshot.IsWatched(configured.ID()) {
+			edge.refresh(view)
+		}
+		edge.trim(snapshot, configured, view)
 	}
 	edge.dropUnlisted(listed)
 }
 
-// proxies is how many proxies share the members. Until the reports of the others
-// had time to arrive it is a guess.
-func (edge *Edge) proxies(snapshot *ebonywood.Snapshot) int {
+// trim adjusts the pools of an instance to this process's share.
+func (edge *Edge) trim(snapshot *ebonywood.Snapshot, configured ebonywood.Instance, view *ebonywood.InstanceView) {
+	if !snapshot.IsServed(view.ID()) {
+		for _, each := range view.Members() {
+			if known := edge.known(each.Member().ID()); known != nil {
+				known.trim(0, leastConnections, leastSlots)
+			}
+		}
+		return
+	}
+	connections := configured.Connections()
+	if connections == 0 {
+		connections = defaultConnections
+	}
+	proxies := edge.proxies(snapshot, view.ID())
+	keep, most := share(connections, proxies)
+	for _, each := range view.Members() {
+		edge.pool(view.ID(), each.Member()).trim(keep, most, slotsOf(each.Member(), proxies))
+	}
+}
+
+// known finds the pool of a member, nil if there is none.
+func (edge *Edge) known(id ebonywood.MemberID) *pool {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	return edge.pools[id]
+}
+
+// proxies is how many proxies share the members of an instance. Until the reports
+// of the others had time to arrive it is a guess.
+func (edge *Edge) proxies(snapshot *ebonywood.Snapshot, id ebonywood.InstanceID) int {
+	count := len(snapshot.Owners().Of(id))
+	if count == 0 {
+		count = snapshot.Reports()
+	}
 	if edge.now() < guessSpan {
-		return max(snapshot.Reports(), guessedProxies)
+		return max(count, guessedProxies)
 	}
-	return snapshot.Reports()
+	return count
 }
 
 // share is how many connections to one member this process may keep idle, and how
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -39,6 +39,8 @@
 	floor   ebonywood.Position
 	wroteAt ebonywood.Millis
 	tx      *transaction
+	// guest says that the session's caller is at another proxy.
+	guest bool
 }
 
 // preparation is a prepared statement. Its name on connections is the same for
@@ -60,6 +62,10 @@
 	tries  int
 	writes bool
 	shared *preparation
+	// peer is the proxy that the statement was sent to, guest says that it came from
+	// one.
+	peer  string
+	guest bool
 }
 
 // left is the time until the statement's deadline.
@@ -179,7 +185,7 @@
 		timeout = defaultTimeout
 	}
 	began := time.Now()
-	return &attempt{route: route, began: began, asked: session.edge.now(), until: began.Add(timeout)}
+	return &attempt{route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), guest: session.guest}
 }
 
 // resolve finds the prepared statement that an execution names, and rewrites the
@@ -209,7 +215,10 @@
 		return failure(ebonywood.CodeNoStatement, "no prepared statement has this name")
 	}
 	var reply ebonywood.Reply
+	servers := session.servers(view.ID())
 	switch {
+	case len(servers) > 0:
+		reply = session.forward(servers, statement, each)
 	case each.writes:
 		reply = session.write(sent, each)
 	case route.Policy().MaxAge() == 0:
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -51,6 +51,9 @@
 
 	counters counters
 
+	// avoided is until when proxies that failed are passed over, by name.
+	avoided sync.Map
+
 	byReplica atomic.Int64
 	byPrimary atomic.Int64
 }
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -24,7 +24,10 @@
 	began    ebonywood.Millis
 	lastUse  ebonywood.Millis
 	lease    *lease
-	wrote    bool
+	// channel leads to the proxy that runs the transaction, if this one doesn't.
+	channel ebonywood.Channel
+	peer    string
+	wrote   bool
 	// changed says that settings were sent inside the transaction.
 	changed bool
 	failed  bool
@@ -107,6 +110,12 @@
 		return ebonywood.NewFailure(ebonywood.CodeNoStatement, "no prepared statement has this name",
 			ebonywood.TxFailed, ebonywood.Position{})
 	}
+	if servers := session.serversOfTransaction(); tx.channel != nil || len(servers) > 0 {
+		tx.wrote = tx.wrote || each.writes
+		reply := session.forwardStep(servers, statement, each)
+		session.edge.account(statement, each, reply)
+		return reply
+	}
 	if tx.lease == nil {
 		if reply := session.take(each); reply.Code() != ebonywood.CodeDone {
 			session.fail()
@@ -198,6 +207,11 @@
 func (session *session) commit(statement ebonywood.Statement) ebonywood.Reply {
 	tx := session.tx
 	each := session.newAttempt(tx.route)
+	if servers := session.serversOfTransaction(); tx.channel != nil || len(servers) > 0 {
+		reply := session.forwardCommit(servers, statement, each)
+		session.edge.account(statement, each, reply)
+		return reply
+	}
 	if tx.lease == nil {
 		if reply := session.take(each); reply.Code() != ebonywood.CodeDone {
 			session.end()
@@ -264,6 +278,10 @@
 // undo rolls the transaction's connection back and gives it back.
 func (session *session) undo() {
 	tx := session.tx
+	if tx.channel != nil {
+		session.forwardRollback()
+		return
+	}
 	if tx.lease == nil {
 		return
 	}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -53,6 +53,7 @@
 	sessions  ebonywood.Sessions
 	dialer    ebonywood.Dialer
 	directory ebonywood.Directory
+	relay     ebonywood.Relay
 	checker   invariant.Checker
 	levels    burn.Ledger
 	inForce   uint64
@@ -117,6 +118,9 @@
 	if dialer, offers := edge.(ebonywood.Dialer); offers {
 		kernel.dialer = dialer
 	}
+	if relay, offers := edge.(ebonywood.Relay); offers {
+		kernel.relay = relay
+	}
 	if directory, offers := edge.(ebonywood.Directory); offers {
 		kernel.directory = directory
 	}
@@ -315,5 +319,8 @@
 // Dialer opens connections to members.
 func (kernel *Kernel) Dialer() ebonywood.Dialer { return kernel.dialer }
 
+// Relay opens channels to other proxies.
+func (kernel *Kernel) Relay() ebonywood.Relay { return kernel.relay }
+
 // Directory is the outside directory.
 func (kernel *Kernel) Directory() ebonywood.Directory { return kernel.directory }
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// Keep makes the names of the set the names of the table.
+func (table *Table) Keep(names map[string]bool) {
+	for _, known := range slices.Clone(table.names) {
+		if !names[known.text] {
+			table.Leave(known.text)
+		}
+	}
+	for name := range names {
+		table.Join(name)
+	}
+}
+
 // Top returns the first names of a key in order.
 func (table *Table) Top(key string) []string {
 	names := make([]string, 0, table.depth)
--- a/peer.go
+++ b/peer.go
@@ -184,6 +184,19 @@
 // Of returns the owner of an instance and those that take over, in order.
 func (owners *Owners) Of(id InstanceID) []PeerView { return owners.byInstance[id] }
 
+// All is the table; not to be changed.
+func (owners *Owners) All() map[InstanceID][]PeerView { return owners.byInstance }
+
+// Has reports whether the named proxy serves the instance.
+func (owners *Owners) Has(id InstanceID, name string) bool {
+	for _, peer := range owners.byInstance[id] {
+		if peer.name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank is this process's place among the owners of an instance.
 func (owners *Owners) Rank(id InstanceID) (rank int, found bool) {
 	return owners.place(owners.byInstance[id])
--- a/plugin.go
+++ b/plugin.go
@@ -54,6 +54,8 @@
 	Sessions() Sessions
 	// Dialer opens connections to members; nil in a process without one.
 	Dialer() Dialer
+	// Relay opens channels to other proxies; nil in a process without one.
+	Relay() Relay
 	// Directory is the outside directory; nil in a process without one.
 	Directory() Directory
 }
--- /dev/null
+++ b/relay.go
@@ -0,0 +1,128 @@
+package ebonywood
+
+import (
+	"maps"
+	"time"
+)
+
+// SessionState is what a session holds, as data: another proxy can run a
+// statement or a transaction of the session with it.
+type SessionState struct {
+	database   string
+	generation uint64
+	settings   map[string]string
+	floor      Position
+	wroteAge   Millis
+}
+
+// NewSessionState makes the state of a session with a database. generation is the
+// object set that the session was routed by, floor covers the session's own
+// commits, and wroteAge is the time since the last of them.
+func NewSessionState(
+	database string, generation uint64, settings map[string]string, floor Position, wroteAge Millis,
+) SessionState {
+	return SessionState{
+		database: database, generation: generation, settings: maps.Clone(settings), floor: floor, wroteAge: wroteAge,
+	}
+}
+
+// Database is what the session was opened with.
+func (state SessionState) Database() string { return state.database }
+
+// Generation is the object set that the session was routed by.
+func (state SessionState) Generation() uint64 { return state.generation }
+
+// Settings are the session's settings; not to be changed.
+func (state SessionState) Settings() map[string]string { return state.settings }
+
+// Floor covers the session's own commits.
+func (state SessionState) Floor() Position { return state.floor }
+
+// WroteAge is the time since the session's last commit.
+func (state SessionState) WroteAge() Millis { return state.wroteAge }
+
+// Work is one statement of a session that another proxy is to run.
+type Work struct {
+	state      SessionState
+	statement  Statement
+	definition string
+	begin      Verb
+	beganAge   Millis
+}
+
+// NewWork makes a piece of work. definition is that of the prepared statement
+// which an execution names.
+func NewWork(state SessionState, statement Statement, definition string) Work {
+	return Work{state: state, statement: statement, definition: definition}
+}
+
+// InTransaction returns the work as the first of a transaction that began with
+// VerbBegin or VerbBeginRead so long ago.
+func (work Work) InTransaction(begin Verb, beganAge Millis) Work {
+	work.begin, work.beganAge = begin, beganAge
+	return work
+}
+
+// State is what the session holds.
+func (work Work) State() SessionState { return work.state }
+
+// Statement is what is to be run.
+func (work Work) Statement() Statement { return work.statement }
+
+// Definition is that of the prepared statement which an execution names.
+func (work Work) Definition() string { return work.definition }
+
+// Begin is the verb of the transaction that the work begins; VerbOther if it
+// begins none.
+func (work Work) Begin() Verb { return work.begin }
+
+// BeganAge is the time since that transaction began.
+func (work Work) BeganAge() Millis { return work.beganAge }
+
+// WorkDone is the outcome of a piece of work at another proxy.
+type WorkDone struct {
+	reply    Reply
+	floor    Position
+	wroteAge Millis
+	refused  string
+}
+
+// NewWorkDone makes the outcome of work that was run: its reply, and the floor of
+// the session with the time since its last commit.
+func NewWorkDone(reply Reply, floor Position, wroteAge Millis) WorkDone {
+	return WorkDone{reply: reply, floor: floor, wroteAge: wroteAge}
+}
+
+// NewWorkRefused makes the outcome of work that the proxy did not begin.
+func NewWorkRefused(why string) WorkDone { return WorkDone{refused: why} }
+
+// Reply is the answer to the statement.
+func (done WorkDone) Reply() Reply { return done.reply }
+
+// Floor covers the session's own commits.
+func (done WorkDone) Floor() Position { return done.floor }
+
+// WroteAge is the time since the session's last commit.
+func (done WorkDone) WroteAge() Millis { return done.wroteAge }
+
+// Refused says why the proxy did not begin the work; empty if it did. Another
+// proxy may run it.
+func (done WorkDone) Refused() string { return done.refused }
+
+// Channel carries the work of one session at a time to another proxy. It belongs
+// to one goroutine.
+type Channel interface {
+	// Exchange sends a piece of work and waits for its outcome until the limit
+	// passes. After an error the work may have been run, and the channel is of no
+	// more use.
+	Exchange(work Work, limit time.Duration) (WorkDone, error)
+	// Release gives the channel back. One that is broken is closed, upon which the
+	// other proxy rolls back what is open.
+	Release(broken bool)
+}
+
+// Relay opens channels to other proxies.
+type Relay interface {
+	// Open takes a channel to a proxy. An error proves that nothing was sent.
+	Open(peer PeerView, limit time.Duration) (Channel, error)
+}
--- a/snapshot.go
+++ b/snapshot.go
@@ -117,6 +117,23 @@
 	hosts    HostsSeen
 	reports  int
 	isolated bool
+	duty     bool
+}
+
+// HoldsDuty reports whether this process holds the duty to promote.
+func (snapshot *Snapshot) HoldsDuty() bool { return snapshot.duty }
+
+// IsServed reports whether this process serves the instance. Where no proxy is
+// known to serve it, each does.
+func (snapshot *Snapshot) IsServed(id InstanceID) bool {
+	_, found := snapshot.owners.Rank(id)
+	return found || len(snapshot.owners.Of(id)) == 0
+}
+
+// IsWatched reports whether this process has to know how the members of the
+// instance stand.
+func (snapshot *Snapshot) IsWatched(id InstanceID) bool {
+	return snapshot.duty || snapshot.IsServed(id)
 }
 
 // IsIsolated reports whether callers are better off at another proxy.
@@ -201,6 +218,9 @@
 // SetReports sets how many proxies report to the directory.
 func (draft *Draft) SetReports(count int) { draft.snapshot.reports = count }
 
+// SetDuty says whether this process holds the duty to promote.
+func (draft *Draft) SetDuty(held bool) { draft.snapshot.duty = held }
+
 // SetIsolated says whether callers are better off at another proxy.
 func (draft *Draft) SetIsolated(isolated bool) { draft.snapshot.isolated = isolated }
 
--- a/statement.go
+++ b/statement.go
@@ -253,8 +253,22 @@
 	Abandon()
 }
 
+// GuestSession is the part of another proxy's session that runs here: one statement,
+// or one transaction. It belongs to one goroutine.
+type GuestSession interface {
+	// Run runs one piece of work to its end.
+	Run(work Work) WorkDone
+	// IsIdle reports whether no transaction is open.
+	IsIdle() bool
+	// Abandon rolls back what is open.
+	Abandon()
+}
+
 // Sessions opens sessions.
 type Sessions interface {
+	// Host begins to run the work of another proxy's session here.
+	Host(work Work) GuestSession
+
 	// Open begins a session with a database. The reply's code is CodeDone,
 	// CodeNoDatabase, or CodeBusy when no configuration is known yet.
 	Open(database string) (Session, Code)
