--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -178,7 +178,7 @@
 	tx := session.tx
 	begun := tx.channel != nil
 	done, err := session.exchange(servers, statement, each)
-	reply := done.Reply()
+	var reply ebonywood.Reply
 	switch {
 	case err == nil:
 		reply = session.takeIn(done)
