Watch the store from a few proxies, and follow those from the rest

Placement chooses the watchers as it chooses an instance's servers; the others follow the mirror of one in their zone over drpc.

A proxy that begins while the store refuses it takes what the seeds know.

--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -1,6 +1,6 @@
 // Package placement decides which proxies serve an instance, where its members
 // accept fewer connections than the fleet has proxies. The others send their
-// work there.
+// work there. It also decides which proxies watch the directory for the others.
 //
 // All proxies that know the same reports agree without a message: each zone's live
 // proxies are ordered for the instance by rendezvous hashing, and the first ones
@@ -35,6 +35,8 @@
 	leastConnections = 2
 	// reservedConnections of a member are left for proxies that take over.
 	reservedConnections = 2
+	// watchersKey orders the proxies that watch the directory for the others.
+	watchersKey = "watchers"
 )
 
 // Placement is the decision.
@@ -118,10 +120,10 @@
 func perZone(servers, zones int) int { return (servers + zones - 1) / max(1, zones) }
 
 func (placement *Placement) keys() []string {
+	keys := []string{watchersKey}
 	if placement.set == nil {
-		return nil
+		return keys
 	}
-	keys := make([]string, 0, len(placement.set.Instances()))
 	for _, instance := range placement.set.Instances() {
 		keys = append(keys, string(instance.ID()))
 	}
@@ -143,13 +145,15 @@
 			byInstance[instance.ID()] = placement.servers(instance)
 		}
 	}
-	same := maps.EqualFunc(byInstance, placement.owners.All(), func(left, right []ebonywood.PeerView) bool {
-		return slices.Equal(left, right)
-	})
+	watchers := placement.first(watchersKey, serversWanted)
+	same := slices.Equal(watchers, placement.owners.Watchers()) &&
+		maps.EqualFunc(byInstance, placement.owners.All(), func(left, right []ebonywood.PeerView) bool {
+			return slices.Equal(left, right)
+		})
 	if same {
 		return nil
 	}
-	placement.owners = ebonywood.NewOwners(placement.self.Name(), byInstance, nil)
+	placement.owners = ebonywood.NewOwners(placement.self.Name(), byInstance, watchers)
 	return []ebonywood.Action{ebonywood.NewAnnounceOwners(placement.owners)}
 }
 
@@ -159,15 +163,20 @@
 	if connections := instance.Connections(); connections > 0 {
 		wanted = min(wanted, max(1, (connections-reservedConnections)/leastConnections))
 	}
+	return placement.first(string(instance.ID()), wanted)
+}
+
+// first are so many proxies for a key, from all zones alike.
+func (placement *Placement) first(key string, wanted int) []ebonywood.PeerView {
 	count := perZone(wanted, len(placement.zones))
-	var servers []ebonywood.PeerView
+	var chosen []ebonywood.PeerView
 	for _, zone := range slices.Sorted(maps.Keys(placement.zones)) {
-		names := placement.zones[zone].Top(string(instance.ID()))
+		names := placement.zones[zone].Top(key)
 		for _, name := range names[:min(count, len(names))] {
-			servers = append(servers, placement.peers[name])
+			chosen = append(chosen, placement.peers[name])
 		}
 	}
-	return servers
+	return chosen
 }
 
 // Contribute adds the table of owners to the snapshot.
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -51,11 +51,14 @@
 	dutySpread = 100 * time.Millisecond
 )
 
+var _ ebonywood.Mirror = (*Edge)(nil)
+
 // Edge mirrors the directory.
 type Edge struct {
 	port  ebonywood.Port
 	nonce string
 	group *rungroup.Group
+	feed  *feed
 
 	// wake interrupts the wait of the keeper, back that of the mirror.
 	wake chan struct{}
@@ -92,12 +95,18 @@
 // New makes the edge. The nonce tells this process from an earlier one of the
 // same name.
 func New(port ebonywood.Port) *Edge {
+	nonce := fmt.Sprintf("%x", rand.Uint64())
 	return &Edge{
-		port: port, nonce: fmt.Sprintf("%x", rand.Uint64()), group: rungroup.New(context.Background()),
+		port: port, nonce: nonce, group: rungroup.New(context.Background()), feed: newFeed(nonce),
 		wake: make(chan struct{}, 1), back: make(chan struct{}, 1),
 	}
 }
 
+// Since tells another proxy what has changed in the mirror.
+func (edge *Edge) Since(ctx context.Context, cursor ebonywood.Cursor) ebonywood.MirrorPage {
+	return edge.feed.since(ctx, cursor, edge.port.Clock().Now)
+}
+
 // Run mirrors until ctx ends, then gives the lease back so that nobody has to
 // wait for it to lapse.
 func (edge *Edge) Run(ctx context.Context) error {
--- /dev/null
+++ b/internal/edge/directory/feed.go
@@ -0,0 +1,112 @@
+package directory
+
+import (
+	"context"
+	"sync"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+// deletionsKept bounds the deletions that a feed remembers; who is further behind
+// gets the whole.
+const deletionsKept = 2000
+
+// feed is the mirror as other proxies follow it: each key with the number of its
+// last change. It belongs to many goroutines.
+type feed struct {
+	epoch string
+
+	mutex    sync.Mutex
+	sequence uint64
+	items    map[string]numbered
+	// deleted are the deletions that are remembered, oldest that of the last one
+	// forgotten.
+	deleted []numbered
+	oldest  uint64
+	// fresh is when the directory last answered, as far as this mirror knows.
+	fresh   ebonywood.Millis
+	changed chan struct{}
+}
+
+// numbered is an item with the number of its change.
+type numbered struct {
+	item   ebonywood.Item
+	number uint64
+}
+
+func newFeed(epoch string) *feed {
+	return &feed{epoch: epoch, items: map[string]numbered{}, changed: make(chan struct{})}
+}
+
+// update makes items what the feed holds, as of a time.
+func (feed *feed) update(items map[string]ebonywood.Item, fresh ebonywood.Millis) {
+	feed.mutex.Lock()
+	defer feed.mutex.Unlock()
+	feed.fresh = max(feed.fresh, fresh)
+	before := feed.sequence
+	for key, item := range items {
+		known, found := feed.items[key]
+		if !found || known.item.Revision() != item.Revision() {
+			feed.sequence++
+			feed.items[key] = numbered{item: item, number: feed.sequence}
+		}
+	}
+	for key, known := range feed.items {
+		if _, found := items[key]; !found {
+			feed.sequence++
+			delete(feed.items, key)
+			feed.deleted = append(feed.deleted, numbered{
+				item: ebonywood.NewDeletedItem(key, known.item.Revision()), number: feed.sequence,
+			})
+		}
+	}
+	if surplus := len(feed.deleted) - deletionsKept; surplus > 0 {
+		feed.oldest = feed.deleted[surplus-1].number
+		feed.deleted = append([]numbered(nil), feed.deleted[surplus:]...)
+	}
+	if feed.sequence != before {
+		close(feed.changed)
+		feed.changed = make(chan struct{})
+	}
+}
+
+// since waits for changes after the cursor until ctx ends.
+func (feed *feed) since(ctx context.Context, cursor ebonywood.Cursor, now func() ebonywood.Millis) ebonywood.MirrorPage {
+	feed.mutex.Lock()
+	if cursor == ebonywood.NewCursor(feed.epoch, feed.sequence) {
+		changed := feed.changed
+		feed.mutex.Unlock()
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+		feed.mutex.Lock()
+	}
+	defer feed.mutex.Unlock()
+	next := ebonywood.NewCursor(feed.epoch, feed.sequence)
+	age := now() - feed.fresh
+	if cursor.Epoch() != feed.epoch || cursor.Sequence() < feed.oldest || cursor.Sequence() > feed.sequence {
+		return ebonywood.NewMirrorPage(next, true, feed.after(0), age)
+	}
+	return ebonywood.NewMirrorPage(next, false, feed.after(cursor.Sequence()), age)
+}
+
+// after are the changes after a number; the mutex is held. From the beginning they
+// are what is there.
+func (feed *feed) after(number uint64) []ebonywood.Item {
+	var items []ebonywood.Item
+	for _, each := range feed.items {
+		if each.number > number {
+			items = append(items, each.item)
+		}
+	}
+	if number == 0 {
+		return items
+	}
+	for _, each := range feed.deleted {
+		if _, again := feed.items[each.item.Key()]; !again && each.number > number {
+			items = append(items, each.item)
+		}
+	}
+	return items
+}
--- /dev/null
+++ b/internal/edge/directory/feed_test.go
@@ -0,0 +1,174 @@
+package directory
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+func stopped() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+func at(now ebonywood.Millis) func() ebonywood.Millis {
+	return func() ebonywood.Millis { return now }
+}
+
+// TestFollowersEndUpWithTheSame whatever they missed, also when deletions were
+// forgotten or the feed began anew.
+func TestFollowersEndUpWithTheSame(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		source := newFeed("first")
+		held := map[string]ebonywood.Item{}
+		follower := newMirror(nil)
+		revision := int64(0)
+		for step := range 400 {
+			for range random.IntN(4) {
+				revision++
+				key := fmt.Sprintf("k%d", random.IntN(30))
+				if random.IntN(3) == 0 {
+					delete(held, key)
+				} else {
+					held[key] = ebonywood.NewItem(key, nil, revision)
+				}
+			}
+			source.update(held, ebonywood.Millis(step))
+			if random.IntN(100) == 0 {
+				source = newFeed(fmt.Sprintf("after %d", step))
+				source.update(held, ebonywood.Millis(step))
+			}
+			if random.IntN(3) == 0 {
+				page := source.since(stopped(), follower.cursor, at(ebonywood.Millis(step)))
+				follower.merge(page)
+				require.Equal(t, held, follower.items, "seed %d, step %d", seed, step)
+				require.Zero(t, page.Age())
+			}
+		}
+	}
+}
+
+// TestForgottenDeletionsMeanTheWhole for a follower that is far behind.
+func TestForgottenDeletionsMeanTheWhole(t *testing.T) {
+	source := newFeed("e")
+	source.update(map[string]ebonywood.Item{"first": ebonywood.NewItem("first", nil, 1)}, 0)
+	behind := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
+	for i := range deletionsKept + 10 {
+		key := fmt.Sprintf("k%d", i)
+		source.update(map[string]ebonywood.Item{key: ebonywood.NewItem(key, nil, int64(i+2))}, 0)
+	}
+	page := source.since(stopped(), behind, at(0))
+	require.True(t, page.IsWhole())
+	require.Len(t, page.Items(), 1)
+}
+
+// TestChangeEndsTheWait of a follower that is up to date.
+func TestChangeEndsTheWait(t *testing.T) {
+	source := newFeed("e")
+	source.update(map[string]ebonywood.Item{}, 0)
+	cursor := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
+	pages := make(chan ebonywood.MirrorPage, 1)
+	go func() { pages <- source.since(context.Background(), cursor, at(7)) }()
+	time.Sleep(20 * time.Millisecond)
+	source.update(map[string]ebonywood.Item{"k": ebonywood.NewItem("k", nil, 1)}, 5)
+	page := <-pages
+	require.Len(t, page.Items(), 1)
+	require.Equal(t, ebonywood.Millis(2), page.Age())
+}
+
+// fakeRelay answers followers as the test says.
+type fakeRelay struct {
+	ebonywood.Relay
+	follow func(address string) (ebonywood.MirrorPage, error)
+	asked  []string
+}
+
+func (fake *fakeRelay) Follow(
+	_ context.Context, address string, _ ebonywood.Cursor, _ ebonywood.Millis,
+) (ebonywood.MirrorPage, error) {
+	fake.asked = append(fake.asked, address)
+	return fake.follow(address)
+}
+
+type fakeSettings struct {
+	ebonywood.Settings
+}
+
+func (fakeSettings) Zone() string    { return "a" }
+func (fakeSettings) Seeds() []string { return []string{"s1", "s2"} }
+
+// follow makes the mirror of a process that two others watch for.
+func follow(t *testing.T, relay *fakeRelay, watchers ...ebonywood.PeerView) *mirror {
+	mirror := mirrorOf(t, &fakeDirectory{})
+	draft := ebonywood.NewDraft()
+	draft.SetOwners(ebonywood.NewOwners("self", nil, watchers))
+	mirror.edge.port = fakePort{relay: relay, snapshot: draft.Publish()}
+	return mirror
+}
+
+var near, far = ebonywood.NewPeerView("near", "a", "near"), ebonywood.NewPeerView("far", "b", "far")
+
+// TestStaleWatcherIsLeft for another one, and in the end for the directory itself.
+func TestStaleWatcherIsLeft(t *testing.T) {
+	item := ebonywood.NewItem("members/m0", nil, 3)
+	ages := map[string]ebonywood.Millis{"near": 10, "far": 20}
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{item}, ages[address]), nil
+	}}
+	mirror := follow(t, relay, far, near)
+	for range 2 {
+		peer, found := mirror.upstream()
+		require.True(t, found)
+		mirror.followPeer(t.Context(), peer)
+		require.Equal(t, "near", mirror.followed)
+	}
+	require.Equal(t, item, mirror.items["members/m0"])
+	ages["near"] = staleSpan + 1
+	peer, _ := mirror.upstream()
+	mirror.followPeer(t.Context(), peer)
+	peer, found := mirror.upstream()
+	require.True(t, found)
+	require.Equal(t, "far", peer.Name())
+	ages["far"] = staleSpan + 1
+	mirror.followPeer(t.Context(), peer)
+	_, found = mirror.upstream()
+	require.False(t, found, "this process watches by itself")
+}
+
+// TestUnreachableWatcherIsLeft as well.
+func TestUnreachableWatcherIsLeft(t *testing.T) {
+	relay := &fakeRelay{follow: func(string) (ebonywood.MirrorPage, error) {
+		return ebonywood.MirrorPage{}, errors.New("connection refused")
+	}}
+	mirror := follow(t, relay, near)
+	mirror.followPeer(t.Context(), near)
+	_, found := mirror.upstream()
+	require.False(t, found)
+}
+
+// TestSeedsHelpAProcessThatBegins while the directory refuses it, of whatever age
+// their knowledge is.
+func TestSeedsHelpAProcessThatBegins(t *testing.T) {
+	item := ebonywood.NewItem("members/m0", nil, 3)
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		if address == "s1" {
+			return ebonywood.MirrorPage{}, errors.New("connection refused")
+		}
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{item}, 60_000), nil
+	}}
+	mirror := follow(t, relay)
+	mirror.askSeeds(t.Context())
+	require.Equal(t, []string{"s1", "s2"}, relay.asked)
+	require.Equal(t, item, mirror.items["members/m0"])
+	mirror.askSeeds(t.Context())
+	require.Len(t, relay.asked, 2, "what it knows by now is not older than a seed's")
+}
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -41,6 +41,11 @@
 	lapsed map[string]bool
 	at     int64
 	pauses int
+	// followed is the address of the watcher that this process follows, cursor the
+	// place in its mirror; unfollowed is until when watchers are passed over.
+	followed   string
+	cursor     ebonywood.Cursor
+	unfollowed map[string]ebonywood.Millis
 }
 
 // section is what is told of the keys under one prefix.
@@ -50,7 +55,9 @@
 }
 
 func newMirror(edge *Edge, sections ...section) *mirror {
-	return &mirror{edge: edge, sections: sections, lapsed: map[string]bool{}}
+	return &mirror{
+		edge: edge, sections: sections, lapsed: map[string]bool{}, unfollowed: map[string]ebonywood.Millis{},
+	}
 }
 
 // tell passes the items of the sections on that changed reports.
@@ -71,25 +78,40 @@
 
 func (mirror *mirror) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if err := mirror.relist(ctx); err != nil {
-			mirror.pause(ctx)
+		if peer, found := mirror.upstream(); found {
+			mirror.followPeer(ctx, peer)
 			continue
 		}
-		for ctx.Err() == nil {
-			err := mirror.follow(ctx)
-			if err == nil {
-				continue
-			}
-			if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
-				mirror.edge.port.Log().Info("history gone", "at", mirror.at)
-				break
-			}
-			mirror.pause(ctx)
-		}
+		mirror.watch(ctx)
 	}
 	return nil
 }
 
+// watch follows the directory itself until its history is gone or another proxy can
+// be followed.
+func (mirror *mirror) watch(ctx context.Context) {
+	mirror.followed = ""
+	if err := mirror.relist(ctx); err != nil {
+		mirror.askSeeds(ctx)
+		mirror.pause(ctx)
+		return
+	}
+	for ctx.Err() == nil {
+		if _, found := mirror.upstream(); found {
+			return
+		}
+		err := mirror.follow(ctx)
+		if err == nil {
+			continue
+		}
+		if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
+			mirror.edge.port.Log().Info("history gone", "at", mirror.at)
+			return
+		}
+		mirror.pause(ctx)
+	}
+}
+
 // pause waits before the next call, longer each time; the directory's return ends
 // the wait.
 func (mirror *mirror) pause(ctx context.Context) {
@@ -162,6 +184,7 @@
 		}
 	}
 	mirror.items, mirror.at, mirror.pauses = items, at, 0
+	mirror.edge.feed.update(items, mirror.edge.port.Clock().Now()-ebonywood.MillisOf(time.Since(began)))
 	mirror.tell(ctx, func(string) bool { return true })
 	return nil
 }
@@ -188,13 +211,18 @@
 		mirror.take(change)
 	}
 	purged := mirror.purge()
+	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now())
 	mirror.tell(ctx, func(prefix string) bool {
-		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() ||
-			slices.ContainsFunc(changes, func(change ebonywood.Item) bool { return strings.HasPrefix(change.Key(), prefix) })
+		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || mirror.touches(changes, prefix)
 	})
 	return nil
 }
 
+// touches reports whether a change concerns the keys under a prefix.
+func (mirror *mirror) touches(changes []ebonywood.Item, prefix string) bool {
+	return slices.ContainsFunc(changes, func(change ebonywood.Item) bool { return strings.HasPrefix(change.Key(), prefix) })
+}
+
 func (mirror *mirror) take(change ebonywood.Item) {
 	key := change.Key()
 	known, found := mirror.items[key]
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clock"
 )
 
 // fakeDirectory answers lists as the test says; what is not set must not be called.
@@ -34,8 +35,15 @@
 type fakePort struct {
 	ebonywood.Port
 	directory *fakeDirectory
+	relay     ebonywood.Relay
+	snapshot  *ebonywood.Snapshot
 }
 
+func (port fakePort) Relay() ebonywood.Relay        { return port.relay }
+func (port fakePort) Snapshot() *ebonywood.Snapshot { return port.snapshot }
+func (port fakePort) Settings() ebonywood.Settings  { return fakeSettings{} }
+
+func (port fakePort) Clock() ebonywood.Clock                      { return clock.Monotonic{} }
 func (port fakePort) Directory() ebonywood.Directory              { return port.directory }
 func (port fakePort) Log() logr.Logger                            { return logr.Discard() }
 func (port fakePort) Post(context.Context, ebonywood.Event) error { return nil }
--- a/internal/edge/peer/lanes.go
+++ b/internal/edge/peer/lanes.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/peerlink"
 )
 
 // Acquire leases a lane at the owner of the instance. If the owner can't be
@@ -49,7 +50,7 @@
 	link := edge.link(owner.Address())
 	dialing, cancel := context.WithTimeout(ctx, dialLimit)
 	defer cancel()
-	conn, _, err := link.take(dialing)
+	conn, _, err := link.Take(dialing)
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +71,7 @@
 // remoteLane is a lane at another proxy.
 type remoteLane struct {
 	edge    *Edge
-	link    *link
+	link    *peerlink.Link
 	conn    *drpcconn.Conn
 	stream  drpc.Stream
 	end     context.CancelFunc
@@ -177,7 +178,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeLimit)
 	defer cancel()
 	var reply cancelReply
-	_ = lane.link.invoke(ctx, rpcCancel, &cancelMessage{Version: protocolVersion, Lane: lane.name}, &reply)
+	_ = lane.link.Invoke(ctx, rpcCancel, &cancelMessage{Version: protocolVersion, Lane: lane.name}, &reply)
 }
 
 // Release ends the lane at the owner. The connection is used again once the
@@ -193,7 +194,7 @@
 		defer timer.Stop()
 		var reply laneReply
 		if err := lane.stream.MsgRecv(&reply, wire); errors.Is(err, io.EOF) {
-			lane.link.put(lane.conn)
+			lane.link.Put(lane.conn)
 			return nil
 		}
 		lane.end()
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/objectfile"
+	"github.com/ebonywood/ebonywood/internal/peerlink"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
@@ -45,7 +46,7 @@
 	group    *rungroup.Group
 
 	mutex    sync.Mutex
-	links    map[string]*link
+	links    map[string]*peerlink.Link
 	served   map[string]ebonywood.Lane
 	number   uint64
 	fetching bool
@@ -64,7 +65,7 @@
 	}
 	edge := &Edge{
 		port: port, local: port.Lanes(), listener: listener, group: rungroup.New(context.Background()),
-		links: map[string]*link{}, served: map[string]ebonywood.Lane{},
+		links: map[string]*peerlink.Link{}, served: map[string]ebonywood.Lane{},
 	}
 	if files := settings.PeerTLS(); files.Certificate() != "" {
 		if edge.identity, err = identity.New(files); err != nil {
@@ -113,11 +114,38 @@
 	return len(edge.served)
 }
 
+// link finds the connections to the proxy at an address.
+func (edge *Edge) link(address string) *peerlink.Link {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	known, found := edge.links[address]
+	if !found {
+		known = peerlink.New(func(ctx context.Context) (net.Conn, error) { return edge.dial(ctx, address) })
+		edge.links[address] = known
+	}
+	return known
+}
+
+// dial opens a connection, secured if the settings name an identity.
+func (edge *Edge) dial(ctx context.Context, address string) (net.Conn, error) {
+	var dialer net.Dialer
+	socket, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil || edge.identity == nil {
+		return socket, err
+	}
+	secured := tls.Client(socket, edge.identity.Client())
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	return secured, nil
+}
+
 func (edge *Edge) closeLinks() {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
 	for _, link := range edge.links {
-		link.close()
+		link.Close()
 	}
 }
 
@@ -158,7 +186,7 @@
 		message.Target, address = address, action.Via()
 	}
 	var reply probeReply
-	err := edge.link(address).invoke(ctx, rpcProbe, &message, &reply)
+	err := edge.link(address).Invoke(ctx, rpcProbe, &message, &reply)
 	if err == nil {
 		_ = edge.port.Post(ctx, ebonywood.NewNewsHeard(decodeUpdates(reply.Updates), reply.Generation, reply.Hosts, address))
 	}
@@ -180,7 +208,7 @@
 		ctx, cancel := context.WithTimeout(ctx, fetchLimit)
 		defer cancel()
 		var reply fetchReply
-		err := edge.link(action.Address()).invoke(ctx, rpcFetch, &fetchMessage{Version: protocolVersion}, &reply)
+		err := edge.link(action.Address()).Invoke(ctx, rpcFetch, &fetchMessage{Version: protocolVersion}, &reply)
 		if err != nil {
 			return nil
 		}
@@ -273,7 +301,7 @@
 	defer cancel()
 	message := probeMessage{Version: protocolVersion, Address: edge.port.Settings().PeerAddress(), Generation: edge.generation()}
 	var reply probeReply
-	return edge.link(target).invoke(ctx, rpcProbe, &message, &reply) == nil
+	return edge.link(target).Invoke(ctx, rpcProbe, &message, &reply) == nil
 }
 
 func (edge *Edge) serveFetch(stream drpc.Stream) error {
--- a/internal/edge/relay/channel.go
+++ b/internal/edge/relay/channel.go
@@ -71,6 +71,9 @@
 		}
 	}
 	clear(edge.idle)
+	for _, link := range edge.links {
+		link.Close()
+	}
 }
 
 func (channel *channel) isOpen() bool {
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -8,9 +8,13 @@
 // protocolVersion grows with each change that an older proxy could misread.
 const protocolVersion = 1
 
-// rpcWork is the only procedure: a stream that carries pieces of work one after
-// the other.
-const rpcWork = "ebonywood.work"
+// The procedures.
+const (
+	// rpcWork is a stream that carries pieces of work one after the other.
+	rpcWork = "ebonywood.work"
+	// rpcFollow waits for changes of the mirror.
+	rpcFollow = "ebonywood.follow"
+)
 
 var wire cborwire.Encoding
 
@@ -94,3 +98,52 @@
 	floor := ebonywood.NewPosition(ebonywood.Term(message.FloorTerm), message.Floor)
 	return ebonywood.NewWorkDone(reply, floor, ebonywood.Millis(message.WroteAge))
 }
+
+// followMessage asks for changes; the wait is in milliseconds.
+type followMessage struct {
+	Version  int    `cbor:"1,keyasint"`
+	Epoch    string `cbor:"2,keyasint"`
+	Sequence uint64 `cbor:"3,keyasint"`
+	Wait     int64  `cbor:"4,keyasint"`
+}
+
+// pageMessage tells of changes; the age is in milliseconds.
+type pageMessage struct {
+	Epoch    string        `cbor:"1,keyasint"`
+	Sequence uint64        `cbor:"2,keyasint"`
+	Whole    bool          `cbor:"3,keyasint"`
+	Age      int64         `cbor:"4,keyasint"`
+	Items    []itemMessage `cbor:"5,keyasint"`
+}
+
+type itemMessage struct {
+	Key      string `cbor:"1,keyasint"`
+	Value    []byte `cbor:"2,keyasint,omitempty"`
+	Revision int64  `cbor:"3,keyasint"`
+	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+}
+
+func encodePage(page ebonywood.MirrorPage) *pageMessage {
+	message := &pageMessage{
+		Epoch: page.Cursor().Epoch(), Sequence: page.Cursor().Sequence(), Whole: page.IsWhole(), Age: int64(page.Age()),
+	}
+	for _, item := range page.Items() {
+		message.Items = append(message.Items, itemMessage{
+			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Deleted: item.IsDeleted(),
+		})
+	}
+	return message
+}
+
+func (message *pageMessage) decode() ebonywood.MirrorPage {
+	items := make([]ebonywood.Item, 0, len(message.Items))
+	for _, each := range message.Items {
+		if each.Deleted {
+			items = append(items, ebonywood.NewDeletedItem(each.Key, each.Revision))
+			continue
+		}
+		items = append(items, ebonywood.NewItem(each.Key, each.Value, each.Revision))
+	}
+	cursor := ebonywood.NewCursor(message.Epoch, message.Sequence)
+	return ebonywood.NewMirrorPage(cursor, message.Whole, items, ebonywood.Millis(message.Age))
+}
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -18,6 +18,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/peerlink"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
@@ -43,6 +44,8 @@
 	group    *rungroup.Group
 
 	mutex sync.Mutex
+	// links are the connections for calls, by address.
+	links map[string]*peerlink.Link
 	// idle are the channels to each address that wait for work.
 	idle map[string][]*channel
 	// busy counts the sessions of others with an open transaction or a statement
@@ -61,7 +64,8 @@
 			fmt.Sprintf("cannot listen for proxies at %s: %v", address, err), "free the port, or name another one in the settings file")
 	}
 	return &Edge{
-		port: port, listener: listener, group: rungroup.New(context.Background()), idle: map[string][]*channel{},
+		port: port, listener: listener, group: rungroup.New(context.Background()),
+		links: map[string]*peerlink.Link{}, idle: map[string][]*channel{},
 	}, nil
 }
 
@@ -114,7 +118,11 @@
 
 // HandleRPC serves one stream.
 func (handler handler) HandleRPC(stream drpc.Stream, rpc string) error {
-	if rpc != rpcWork {
+	switch rpc {
+	case rpcWork:
+	case rpcFollow:
+		return handler.edge.serveFollow(stream)
+	default:
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("no procedure %q", rpc), "upgrade the fleet one version at a time")
 	}
 	served := &served{edge: handler.edge, stream: stream}
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -93,6 +94,10 @@
 	return &channel{relay: relay, peer: peer.Name()}, nil
 }
 
+func (relay *relay) Follow(context.Context, string, ebonywood.Cursor, ebonywood.Millis) (ebonywood.MirrorPage, error) {
+	return ebonywood.MirrorPage{}, errors.New("not followed here")
+}
+
 func (channel *channel) Exchange(work ebonywood.Work, _ time.Duration) (ebonywood.WorkDone, error) {
 	relay := channel.relay
 	relay.works = append(relay.works, work)
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -54,6 +54,7 @@
 	dialer    ebonywood.Dialer
 	directory ebonywood.Directory
 	relay     ebonywood.Relay
+	mirror    ebonywood.Mirror
 	checker   invariant.Checker
 	levels    burn.Ledger
 	inForce   uint64
@@ -118,6 +119,9 @@
 	if dialer, offers := edge.(ebonywood.Dialer); offers {
 		kernel.dialer = dialer
 	}
+	if mirror, offers := edge.(ebonywood.Mirror); offers {
+		kernel.mirror = mirror
+	}
 	if relay, offers := edge.(ebonywood.Relay); offers {
 		kernel.relay = relay
 	}
@@ -322,5 +326,8 @@
 // Relay opens channels to other proxies.
 func (kernel *Kernel) Relay() ebonywood.Relay { return kernel.relay }
 
+// Mirror is this process's copy of the directory.
+func (kernel *Kernel) Mirror() ebonywood.Mirror { return kernel.mirror }
+
 // Directory is the outside directory.
 func (kernel *Kernel) Directory() ebonywood.Directory { return kernel.directory }
--- /dev/null
+++ b/mirror.go
@@ -0,0 +1,53 @@
+package ebonywood
+
+import "context"
+
+// Cursor is a place in the changes of a mirror. The zero value is before all.
+type Cursor struct {
+	epoch    string
+	sequence uint64
+}
+
+// NewCursor makes a cursor; epoch names one life of a mirror, within which the
+// sequence orders its changes.
+func NewCursor(epoch string, sequence uint64) Cursor { return Cursor{epoch: epoch, sequence: sequence} }
+
+// Epoch names the life of the mirror.
+func (cursor Cursor) Epoch() string { return cursor.epoch }
+
+// Sequence orders the changes of one epoch.
+func (cursor Cursor) Sequence() uint64 { return cursor.sequence }
+
+// MirrorPage is what has changed in a mirror since a cursor.
+type MirrorPage struct {
+	cursor Cursor
+	whole  bool
+	items  []Item
+	age    Millis
+}
+
+// NewMirrorPage makes a page. whole says that the items are all that the mirror
+// holds; age is the time since the directory, of which it is a mirror, answered.
+func NewMirrorPage(cursor Cursor, whole bool, items []Item, age Millis) MirrorPage {
+	return MirrorPage{cursor: cursor, whole: whole, items: items, age: age}
+}
+
+// Cursor is where to go on from.
+func (page MirrorPage) Cursor() Cursor { return page.cursor }
+
+// IsWhole reports whether the items are all that the mirror holds.
+func (page MirrorPage) IsWhole() bool { return page.whole }
+
+// Items are what was written or deleted.
+func (page MirrorPage) Items() []Item { return page.items }
+
+// Age is the time since the directory answered the mirror.
+func (page MirrorPage) Age() Millis { return page.age }
+
+// Mirror is this process's copy of the directory, from which others can take
+// theirs.
+type Mirror interface {
+	// Since waits for changes after the cursor, and returns none when ctx ends. A
+	// cursor of another epoch, or one that is too old, gets the whole.
+	Since(ctx context.Context, cursor Cursor) MirrorPage
+}
--- a/peer.go
+++ b/peer.go
@@ -184,6 +184,9 @@
 // Of returns the owner of an instance and those that take over, in order.
 func (owners *Owners) Of(id InstanceID) []PeerView { return owners.byInstance[id] }
 
+// Watchers are the proxies that watch the platform's store for the others.
+func (owners *Owners) Watchers() []PeerView { return owners.watchers }
+
 // All is the table; not to be changed.
 func (owners *Owners) All() map[InstanceID][]PeerView { return owners.byInstance }
 
--- a/plugin.go
+++ b/plugin.go
@@ -56,6 +56,8 @@
 	Dialer() Dialer
 	// Relay opens channels to other proxies; nil in a process without one.
 	Relay() Relay
+	// Mirror is this process's copy of the directory; nil in a process without one.
+	Mirror() Mirror
 	// Directory is the outside directory; nil in a process without one.
 	Directory() Directory
 }
--- a/relay.go
+++ b/relay.go
@@ -1,6 +1,7 @@
 package ebonywood
 
 import (
+	"context"
 	"maps"
 	"time"
 )
@@ -125,4 +126,7 @@
 type Relay interface {
 	// Open takes a channel to a proxy. An error proves that nothing was sent.
 	Open(peer PeerView, limit time.Duration) (Channel, error)
+	// Follow asks the proxy at an address for what has changed in its mirror of the
+	// directory since the cursor; it answers at the latest when the wait is over.
+	Follow(ctx context.Context, address string, cursor Cursor, wait Millis) (MirrorPage, error)
 }
