--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -154,6 +154,25 @@
 	return each.primary != "" && known != nil && known.unreachable
 }
 
+// presumed is the primary, or the one that claims to lead while this process has
+// not found out yet; a new holder of the duty may never have reached it.
+func (each *instance) presumed() ebonywood.MemberID {
+	if each.primary != "" {
+		return each.primary
+	}
+	claimed := ebonywood.MemberID("")
+	for _, other := range each.members {
+		if !other.listed.ClaimsPrimary() {
+			continue
+		}
+		if claimed != "" {
+			return ""
+		}
+		claimed = other.listed.Member().ID()
+	}
+	return claimed
+}
+
 // isPrimaryLeaving reports whether the primary is on its way out, or has been
 // missing from the list for long enough.
 func (each *instance) isPrimaryLeaving(now ebonywood.Millis) bool {
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -53,6 +53,8 @@
 	instances map[ebonywood.InstanceID]*instance
 	reports   []ebonywood.NodeReport
 	owners    *ebonywood.Owners
+	// lostPeers is since when other proxies don't answer this one.
+	lostPeers map[ebonywood.PeerView]ebonywood.Millis
 	token     int64
 	// refused is a token that the platform does not accept any more.
 	refused   int64
@@ -64,7 +66,10 @@
 
 // New makes the decision of the named proxy.
 func New(self string) *Succession {
-	return &Succession{self: self, instances: map[ebonywood.InstanceID]*instance{}, owners: &ebonywood.Owners{}}
+	return &Succession{
+		self: self, instances: map[ebonywood.InstanceID]*instance{}, owners: &ebonywood.Owners{},
+		lostPeers: map[ebonywood.PeerView]ebonywood.Millis{},
+	}
 }
 
 // Handle takes one event.
@@ -79,6 +84,12 @@
 	case ebonywood.OwnersChanged:
 		decision.owners = event.Owners()
 		decision.watch(now)
+	case ebonywood.PeerReached:
+		if event.IsReachable() {
+			delete(decision.lostPeers, event.Peer())
+		} else {
+			decision.lostPeers[event.Peer()] = now
+		}
 	case ebonywood.DutyChanged:
 		return decision.takeDuty(now, event)
 	case ebonywood.DirectoryChanged:
@@ -226,19 +237,32 @@
 }
 
 // isIsolated reports whether callers are better off at another proxy: this one
-// can reach neither the directory nor the primary of some instance.
+// can reach neither the directory nor the primary of some instance, or none of the
+// proxies that serve it.
 func (decision *Succession) isIsolated(now ebonywood.Millis) bool {
 	if !decision.away || now-decision.awaySince < isolatedSpan {
 		return false
 	}
 	for id, each := range decision.instances {
-		if decision.isServed(id) && each.lostAt > 0 && now-each.lostAt > isolatedSpan && len(each.members) > 0 {
+		lost := each.lostAt > 0 && now-each.lostAt > isolatedSpan && len(each.members) > 0
+		if decision.isServed(id) && lost || !decision.isServed(id) && decision.areServersLost(now, id) {
 			return true
 		}
 	}
 	return false
 }
 
+// areServersLost reports whether no proxy that serves the instance answers.
+func (decision *Succession) areServersLost(now ebonywood.Millis, id ebonywood.InstanceID) bool {
+	for _, peer := range decision.owners.Of(id) {
+		since, lost := decision.lostPeers[peer]
+		if !lost || now-since < isolatedSpan {
+			return false
+		}
+	}
+	return true
+}
+
 // ended takes the platform's answer to an order. A token that was refused is not
 // used again.
 func (decision *Succession) ended(now ebonywood.Millis, event ebonywood.PromoteEnded) []ebonywood.Action {
@@ -265,7 +289,8 @@
 
 // isDead weighs this process's evidence with that of the other proxies.
 func (decision *Succession) isDead(now ebonywood.Millis, each *instance) bool {
-	if each.primary == "" {
+	primary := each.presumed()
+	if primary == "" {
 		return false
 	}
 	lost := each.isPrimaryLost()
@@ -278,7 +303,7 @@
 			continue
 		}
 		voters++
-		if slices.Contains(report.Suspects(), each.primary) {
+		if slices.Contains(report.Suspects(), primary) {
 			votes++
 		}
 	}
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -241,3 +241,85 @@
 	require.Empty(t, drive.view().Primary())
 	require.Positive(t, drive.view().PrimaryLostAt())
 }
+
+// serve has other proxies serve the instance.
+func (drive *driver) serve(names ...string) []ebonywood.PeerView {
+	var servers []ebonywood.PeerView
+	for _, name := range names {
+		servers = append(servers, ebonywood.NewPeerView(name, "a", name))
+	}
+	owners := ebonywood.NewOwners("p0", map[ebonywood.InstanceID][]ebonywood.PeerView{db: servers}, nil)
+	drive.send(ebonywood.NewOwnersChanged(owners))
+	return servers
+}
+
+// TestOnlyServersVote: the others have no connection to the members and can't know.
+func TestOnlyServersVote(t *testing.T) {
+	drive := lead(t)
+	drive.serve("p0", "p1", "p2")
+	suspects := []ebonywood.MemberID{first}
+	drive.report(suspects, nil, suspects, suspects, suspects)
+	drive.pass(1000)
+	require.Empty(t, drive.orders(), "one of three servers suspects it")
+	drive.report(suspects, suspects, nil, nil, nil)
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 1})
+	drive.pass(50)
+	require.Len(t, drive.orders(), 1)
+}
+
+// TestNewHolderTakesNobodysSilenceForADeath: it watched nothing before, so it first
+// finds out who leads.
+func TestNewHolderTakesNobodysSilenceForADeath(t *testing.T) {
+	drive := lead(t)
+	drive.serve("p1", "p2")
+	drive.send(ebonywood.NewDutyChanged(false, 0))
+	drive.pass(60_000)
+	drive.send(ebonywood.NewDutyChanged(true, token))
+	drive.pass(1000)
+	require.Empty(t, drive.orders())
+	drive.send(ebonywood.NewLeadSeen(db, second, 4))
+	drive.pass(5000)
+	require.Empty(t, drive.orders())
+	require.Equal(t, second, drive.view().Primary())
+}
+
+// TestNewHolderActsOnTheServersReports of a primary that it never reached itself.
+func TestNewHolderActsOnTheServersReports(t *testing.T) {
+	drive := lead(t)
+	drive.serve("p1", "p2")
+	drive.send(ebonywood.NewDutyChanged(false, 0))
+	drive.pass(10_000)
+	drive.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	drive.send(ebonywood.NewDutyChanged(true, token))
+	drive.pass(50)
+	drive.answer(map[ebonywood.MemberID]uint64{second: 1, third: 2})
+	drive.pass(250)
+	require.Len(t, drive.orders(), 1)
+	require.Equal(t, third, drive.orders()[0].Member())
+}
+
+// TestWithoutServersAndDirectoryIsIsolated: a proxy whose callers' work can go
+// nowhere sends them elsewhere; with either of the two it does not.
+func TestWithoutServersAndDirectoryIsIsolated(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewDutyChanged(false, 0))
+	isolated := func() bool {
+		drive.pass(1500)
+		draft := ebonywood.NewDraft()
+		drive.decision.Contribute(draft)
+		return draft.Publish().IsIsolated()
+	}
+	servers := drive.serve("p1", "p2")
+	drive.send(ebonywood.NewDirectoryChanged(false))
+	require.False(t, isolated())
+	drive.send(ebonywood.NewPeerReached(servers[0], false))
+	require.False(t, isolated())
+	drive.send(ebonywood.NewPeerReached(servers[1], false))
+	require.True(t, isolated())
+	drive.send(ebonywood.NewDirectoryChanged(true))
+	require.False(t, isolated())
+	drive.send(ebonywood.NewDirectoryChanged(false))
+	drive.send(ebonywood.NewPeerReached(servers[0], true))
+	require.False(t, isolated())
+}
--- a/internal/edge/directory/feed.go
+++ b/internal/edge/directory/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -70,15 +71,17 @@
 	}
 }
 
-// since waits for changes after the cursor until ctx ends.
+// since waits for changes after the cursor until ctx ends, or until the mirror is
+// stale, which followers have to know at once.
 func (feed *feed) since(ctx context.Context, cursor ebonywood.Cursor, now func() ebonywood.Millis) ebonywood.MirrorPage {
 	feed.mutex.Lock()
-	if cursor == ebonywood.NewCursor(feed.epoch, feed.sequence) {
-		changed := feed.changed
+	for cursor == ebonywood.NewCursor(feed.epoch, feed.sequence) && ctx.Err() == nil && now()-feed.fresh <= staleSpan {
+		changed, left := feed.changed, staleSpan-(now()-feed.fresh)+1
 		feed.mutex.Unlock()
 		select {
 		case <-changed:
 		case <-ctx.Done():
+		case <-time.After(left.Duration()):
 		}
 		feed.mutex.Lock()
 	}
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -85,6 +85,15 @@
 	require.Equal(t, ebonywood.Millis(2), page.Age())
 }
 
+// TestStaleMirrorAnswersAtOnce, so that its followers look elsewhere.
+func TestStaleMirrorAnswersAtOnce(t *testing.T) {
+	source := newFeed("e")
+	source.update(map[string]ebonywood.Item{}, 0)
+	cursor := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
+	page := source.since(context.Background(), cursor, at(staleSpan+5))
+	require.Equal(t, staleSpan+5, page.Age())
+}
+
 // fakeRelay answers followers as the test says.
 type fakeRelay struct {
 	ebonywood.Relay
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -24,6 +24,9 @@
 	listLimit    = 1600 * time.Millisecond
 	listPause    = 300 * time.Millisecond
 	listAttempts = 5
+	// pacePerProxy, up to paceLimit, is the least time between two watches.
+	pacePerProxy = time.Millisecond
+	paceLimit    = 100 * time.Millisecond
 	// watchSlack is added for the way of the answer.
 	watchSlack = 600 * time.Millisecond
 	// lapsedSpan is how long entries that lapsed while the directory was away are
@@ -102,6 +105,7 @@
 		}
 		err := mirror.follow(ctx)
 		if err == nil {
+			mirror.pace(ctx)
 			continue
 		}
 		if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
@@ -112,6 +116,16 @@
 	}
 }
 
+// pace waits a little before the next watch. Many proxies that write their reports
+// at one moment would otherwise wake each watch once for each of them.
+func (mirror *mirror) pace(ctx context.Context) {
+	span := time.Duration(mirror.edge.port.Snapshot().Reports()) * pacePerProxy
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(span, paceLimit)):
+	}
+}
+
 // pause waits before the next call, longer each time; the directory's return ends
 // the wait.
 func (mirror *mirror) pause(ctx context.Context) {
--- a/internal/edge/relay/channel.go
+++ b/internal/edge/relay/channel.go
@@ -103,6 +103,9 @@
 	return message.decode(), nil
 }
 
+// Interrupt makes an exchange that waits fail at once.
+func (channel *channel) Interrupt() { _ = channel.socket.SetDeadline(time.Unix(1, 0)) }
+
 // Release keeps the channel for the next work, unless it is broken.
 func (channel *channel) Release(broken bool) {
 	edge := channel.edge
--- a/internal/edge/relay/follow.go
+++ b/internal/edge/relay/follow.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/peerlink"
@@ -39,6 +40,31 @@
 	return known
 }
 
+// Reach asks another proxy whether it lives. A connection that stands may have gone
+// silent, so the question goes over a fresh one.
+func (edge *Edge) Reach(ctx context.Context, address string) error {
+	opened, err := socket.Dialer{}.Dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	conn := drpcconn.New(opened)
+	if err := conn.Invoke(ctx, rpcReach, wire, &reachMessage{Version: protocolVersion}, &reachMessage{}); err != nil {
+		_ = conn.Close()
+		return err
+	}
+	edge.link(address).Put(conn)
+	return nil
+}
+
+// serveReach answers that this process lives.
+func (edge *Edge) serveReach(stream drpc.Stream) error {
+	var message reachMessage
+	if err := stream.MsgRecv(&message, wire); err != nil {
+		return err
+	}
+	return stream.MsgSend(&reachMessage{Version: protocolVersion}, wire)
+}
+
 // serveFollow answers with what has changed in the mirror here.
 func (edge *Edge) serveFollow(stream drpc.Stream) error {
 	var message followMessage
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -14,6 +14,8 @@
 	rpcWork = "ebonywood.work"
 	// rpcFollow waits for changes of the mirror.
 	rpcFollow = "ebonywood.follow"
+	// rpcReach only answers.
+	rpcReach = "ebonywood.reach"
 )
 
 var wire cborwire.Encoding
@@ -99,6 +101,11 @@
 	return ebonywood.NewWorkDone(reply, floor, ebonywood.Millis(message.WroteAge))
 }
 
+// reachMessage is the question whether a proxy lives, and the answer.
+type reachMessage struct {
+	Version int `cbor:"1,keyasint"`
+}
+
 // followMessage asks for changes; the wait is in milliseconds.
 type followMessage struct {
 	Version  int    `cbor:"1,keyasint"`
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -122,6 +122,8 @@
 	case rpcWork:
 	case rpcFollow:
 		return handler.edge.serveFollow(stream)
+	case rpcReach:
+		return handler.edge.serveReach(stream)
 	default:
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("no procedure %q", rpc), "upgrade the fleet one version at a time")
 	}
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -19,9 +19,6 @@
 	// answerSlack is how much longer than the statement's own limit its answer may
 	// take on the way back.
 	answerSlack = 60 * time.Millisecond
-	// avoidSpan is how long a proxy that failed is passed over while there is
-	// another one.
-	avoidSpan ebonywood.Millis = 1500
 	// forwardTries bounds the proxies that one statement is offered to.
 	forwardTries = 3
 )
@@ -59,7 +56,7 @@
 	for i := range peers {
 		peer := peers[(i+offset)%len(peers)]
 		switch {
-		case edge.isAvoided(peer.Name()):
+		case edge.peer(peer).isAvoided():
 			avoided = append(avoided, peer)
 		case peer.Zone() == zone:
 			near = append(near, peer)
@@ -70,20 +67,6 @@
 	return append(append(near, far...), avoided...)
 }
 
-func (edge *Edge) isAvoided(peer string) bool {
-	until, found := edge.avoided.Load(peer)
-	return found && until.(ebonywood.Millis) > edge.now()
-}
-
-// avoid passes a proxy over for a while.
-func (edge *Edge) avoid(peer ebonywood.PeerView, why string) {
-	until := edge.now() + avoidSpan
-	before, found := edge.avoided.Swap(peer.Name(), until)
-	if !found || before.(ebonywood.Millis) < edge.now() {
-		edge.counters.line("peerAvoided", "peer", peer.Name(), "why", why)
-	}
-}
-
 // forward runs a single statement at another proxy. A read whose answer is lost is
 // sent to the next one.
 func (session *session) forward(
@@ -100,17 +83,17 @@
 			reply = refusal
 			continue
 		}
-		done, err := channel.Exchange(session.work(statement, each), each.left()+answerSlack)
+		known := session.edge.peer(peer)
+		done, err := known.exchange(channel, session.work(statement, each), each.left()+answerSlack, !each.writes)
 		channel.Release(err != nil)
 		switch {
 		case err != nil:
-			session.edge.avoid(peer, err.Error())
 			if each.writes {
 				return unknownOr(err, each)
 			}
 			reply = session.brokenRead(err, each)
 		case done.Refused() != "":
-			session.edge.avoid(peer, done.Refused())
+			known.refused(done.Refused())
 			reply = failure(ebonywood.CodeBusy, done.Refused())
 		default:
 			return session.takeIn(done)
@@ -124,7 +107,7 @@
 	each.peer = peer.Name()
 	channel, err := session.edge.port.Relay().Open(peer, min(channelLimit, each.left()))
 	if err != nil {
-		session.edge.avoid(peer, err.Error())
+		session.edge.peer(peer).suspect()
 		return nil, failure(ebonywood.CodeBusy, "the proxy that serves the instance can't be reached: "+err.Error())
 	}
 	return channel, ebonywood.Reply{}
@@ -203,14 +186,20 @@
 	if tx.channel == nil {
 		return session.beginElsewhere(servers, work, each)
 	}
-	each.peer = tx.peer
-	done, err := tx.channel.Exchange(work, each.left()+answerSlack)
+	each.peer = tx.peer.view.Name()
+	done, err := tx.peer.exchange(tx.channel, work, each.left()+answerSlack, isRepeatable(statement))
 	if err != nil {
 		session.closeChannel(true)
 	}
 	return done, err
 }
 
+// isRepeatable reports whether the loss of a transaction's statement loses nothing
+// that was asked to be kept: all but its commit.
+func isRepeatable(statement ebonywood.Statement) bool {
+	return statement.Verb() != ebonywood.VerbCommit
+}
+
 // beginElsewhere begins the transaction with its first statement at another proxy.
 func (session *session) beginElsewhere(
 	servers []ebonywood.PeerView, work ebonywood.Work, each *attempt,
@@ -227,18 +216,18 @@
 		if channel == nil {
 			continue
 		}
-		done, err = channel.Exchange(work, each.left()+answerSlack)
+		known := session.edge.peer(peer)
+		done, err = known.exchange(channel, work, each.left()+answerSlack, isRepeatable(work.Statement()))
 		if err != nil {
-			session.edge.avoid(peer, err.Error())
 			channel.Release(true)
 			return done, err
 		}
 		if done.Refused() == "" {
-			tx.channel, tx.peer = channel, peer.Name()
+			tx.channel, tx.peer = channel, known
 			return done, nil
 		}
 		err = errNoServer
-		session.edge.avoid(peer, done.Refused())
+		known.refused(done.Refused())
 		channel.Release(false)
 	}
 	return done, err
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,13 +33,14 @@
 
 func (settings) Zone() string { return "a" }
 
-func (port *port) Snapshot() *ebonywood.Snapshot { return port.snapshot }
-func (port *port) Relay() ebonywood.Relay        { return port.relay }
-func (port *port) Levels() ebonywood.Levels      { return &port.levels }
-func (port *port) Clock() ebonywood.Clock        { return port.clock }
-func (port *port) Settings() ebonywood.Settings  { return settings{} }
-func (port *port) Log() logr.Logger              { return logr.Discard() }
-func (port *port) Metrics() tally.Scope          { return tally.NoopScope }
+func (port *port) Post(context.Context, ebonywood.Event) error { return nil }
+func (port *port) Snapshot() *ebonywood.Snapshot               { return port.snapshot }
+func (port *port) Relay() ebonywood.Relay                      { return port.relay }
+func (port *port) Levels() ebonywood.Levels                    { return &port.levels }
+func (port *port) Clock() ebonywood.Clock                      { return port.clock }
+func (port *port) Settings() ebonywood.Settings                { return settings{} }
+func (port *port) Log() logr.Logger                            { return logr.Discard() }
+func (port *port) Metrics() tally.Scope                        { return tally.NoopScope }
 
 func newPort() *port {
 	near, far := ebonywood.NewPeerView("near", "a", "near"), ebonywood.NewPeerView("far", "b", "far")
@@ -61,6 +63,9 @@
 	unreachable
 	refusing
 	losing
+	// hanging leaves work without an answer until it is interrupted or its limit
+	// has passed.
+	hanging
 )
 
 // relay plays the proxies that serve: their fates in order, then done.
@@ -69,12 +74,15 @@
 	works  []ebonywood.Work
 	peers  []string
 	broken int
+	// dead says that no proxy answers whether it lives.
+	dead atomic.Bool
 }
 
 type channel struct {
-	relay  *relay
-	peer   string
-	inside bool
+	relay       *relay
+	peer        string
+	inside      bool
+	interrupted chan struct{}
 }
 
 func (relay *relay) next(peer string) fate {
@@ -91,20 +99,26 @@
 		relay.fates[peer.Name()] = fates[1:]
 		return nil, errors.New("connection refused")
 	}
-	return &channel{relay: relay, peer: peer.Name()}, nil
+	return &channel{relay: relay, peer: peer.Name(), interrupted: make(chan struct{}, 1)}, nil
 }
 
 func (relay *relay) Follow(context.Context, string, ebonywood.Cursor, ebonywood.Millis) (ebonywood.MirrorPage, error) {
 	return ebonywood.MirrorPage{}, errors.New("not followed here")
 }
 
-func (channel *channel) Exchange(work ebonywood.Work, _ time.Duration) (ebonywood.WorkDone, error) {
+func (channel *channel) Exchange(work ebonywood.Work, limit time.Duration) (ebonywood.WorkDone, error) {
 	relay := channel.relay
 	relay.works = append(relay.works, work)
 	relay.peers = append(relay.peers, channel.peer)
 	switch relay.next(channel.peer) {
 	case losing:
 		return ebonywood.WorkDone{}, errors.New("connection reset")
+	case hanging:
+		select {
+		case <-channel.interrupted:
+		case <-time.After(limit):
+		}
+		return ebonywood.WorkDone{}, errors.New("i/o timeout")
 	case refusing:
 		return ebonywood.NewWorkRefused("the proxy is leaving"), nil
 	}
@@ -122,6 +136,15 @@
 	return ebonywood.NewWorkDone(ebonywood.NewReply(nil, "signed", state, floor), floor, 0), nil
 }
 
+func (relay *relay) Reach(context.Context, string) error {
+	if relay.dead.Load() {
+		return errors.New("no answer")
+	}
+	return nil
+}
+
+func (channel *channel) Interrupt() { channel.interrupted <- struct{}{} }
+
 func (channel *channel) Release(broken bool) {
 	if broken {
 		channel.relay.broken++
@@ -180,6 +203,7 @@
 			session, code := New(port).Open("shop")
 			require.Equal(t, ebonywood.CodeDone, code)
 			var reply ebonywood.Reply
+			port.relay.dead.Store(true)
 			for i, statement := range test.statements {
 				reply = session.Handle(statement)
 				require.Equal(t, test.codes[i], reply.Code(), "%d: %s", i, reply.Message())
@@ -222,12 +246,55 @@
 	require.True(t, session.IsIdle())
 }
 
-// TestFailedProxyIsPassedOver while there is another one.
+// TestFailedProxyIsPassedOver until it answers again.
 func TestFailedProxyIsPassedOver(t *testing.T) {
 	port := newPort()
 	port.relay.fates["near"] = []fate{losing}
-	session, _ := New(port).Open("shop")
+	port.relay.dead.Store(true)
+	edge := New(port)
+	session, _ := edge.Open("shop")
+	session.Handle(write)
 	session.Handle(write)
+	require.Equal(t, []string{"near", "far"}, port.relay.peers)
+	port.relay.dead.Store(false)
+	near := edge.peer(ebonywood.NewPeerView("near", "a", "near"))
+	require.Eventually(t, func() bool { return !near.isAvoided() }, 10*time.Second, time.Millisecond)
 	session.Handle(write)
+	require.Equal(t, "near", port.relay.peers[2])
+}
+
+// TestReadLeavesASilentProxy long before its own deadline: the proxy leaves work
+// without an answer, and does not answer a fresh question either.
+func TestReadLeavesASilentProxy(t *testing.T) {
+	port := newPort()
+	port.relay.fates["near"] = []fate{hanging}
+	port.relay.dead.Store(true)
+	edge := New(port)
+	stop := make(chan struct{})
+	defer close(stop)
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(10 * time.Millisecond):
+				edge.watchPeers()
+			}
+		}
+	}()
+	session, _ := edge.Open("shop")
+	require.Equal(t, ebonywood.CodeDone, session.Handle(read).Code())
 	require.Equal(t, []string{"near", "far"}, port.relay.peers)
 }
+
+// TestWriteWaitsForASilentProxy to its end, since it may have been run.
+func TestWriteWaitsForASilentProxy(t *testing.T) {
+	port := newPort()
+	port.relay.fates["near"] = []fate{hanging}
+	port.relay.dead.Store(true)
+	edge := New(port)
+	session, _ := edge.Open("shop")
+	time.AfterFunc(300*time.Millisecond, edge.watchPeers)
+	require.Contains(t, []ebonywood.Code{ebonywood.CodeUnknown, ebonywood.CodeTimeout}, session.Handle(write).Code())
+	require.Equal(t, []string{"near"}, port.relay.peers)
+}
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -60,6 +60,7 @@
 	if set == nil {
 		return
 	}
+	edge.watchPeers()
 	listed := map[ebonywood.MemberID]bool{}
 	for _, configured := range set.Instances() {
 		view, found := snapshot.View(configured.ID())
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -43,6 +43,7 @@
 	mutex   sync.Mutex
 	pools   map[ebonywood.MemberID]*pool
 	leaders map[ebonywood.InstanceID]*leader
+	peers   map[ebonywood.PeerView]*peer
 	// inTransaction holds the sessions with an open transaction.
 	inTransaction map[*session]struct{}
 
@@ -51,9 +52,6 @@
 
 	counters counters
 
-	// avoided is until when proxies that failed are passed over, by name.
-	avoided sync.Map
-
 	byReplica atomic.Int64
 	byPrimary atomic.Int64
 }
@@ -91,6 +89,7 @@
 		port: port, group: rungroup.New(context.Background()),
 		pools:         map[ebonywood.MemberID]*pool{},
 		leaders:       map[ebonywood.InstanceID]*leader{},
+		peers:         map[ebonywood.PeerView]*peer{},
 		inTransaction: map[*session]struct{}{},
 		counters:      newCounters(port.Metrics(), port.Log()),
 	}
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -26,7 +26,7 @@
 	lease    *lease
 	// channel leads to the proxy that runs the transaction, if this one doesn't.
 	channel ebonywood.Channel
-	peer    string
+	peer    *peer
 	wrote   bool
 	// changed says that settings were sent inside the transaction.
 	changed bool
--- a/peer.go
+++ b/peer.go
@@ -1,5 +1,7 @@
 package ebonywood
 
+import "slices"
+
 // PeerState is what is believed of a proxy.
 type PeerState uint8
 
@@ -200,6 +202,16 @@
 	return false
 }
 
+// Includes reports whether a proxy serves any instance.
+func (owners *Owners) Includes(peer PeerView) bool {
+	for _, servers := range owners.byInstance {
+		if slices.Contains(servers, peer) {
+			return true
+		}
+	}
+	return false
+}
+
 // Rank is this process's place among the owners of an instance.
 func (owners *Owners) Rank(id InstanceID) (rank int, found bool) {
 	return owners.place(owners.byInstance[id])
--- a/relay.go
+++ b/relay.go
@@ -117,6 +117,8 @@
 	// passes. After an error the work may have been run, and the channel is of no
 	// more use.
 	Exchange(work Work, limit time.Duration) (WorkDone, error)
+	// Interrupt makes an exchange that waits fail at once; any goroutine may call it.
+	Interrupt()
 	// Release gives the channel back. One that is broken is closed, upon which the
 	// other proxy rolls back what is open.
 	Release(broken bool)
@@ -126,7 +128,28 @@
 type Relay interface {
 	// Open takes a channel to a proxy. An error proves that nothing was sent.
 	Open(peer PeerView, limit time.Duration) (Channel, error)
+	// Reach asks the proxy at an address over a fresh connection whether it lives.
+	Reach(ctx context.Context, address string) error
 	// Follow asks the proxy at an address for what has changed in its mirror of the
 	// directory since the cursor; it answers at the latest when the wait is over.
 	Follow(ctx context.Context, address string, cursor Cursor, wait Millis) (MirrorPage, error)
 }
+
+// PeerReached tells that a proxy answers again, or not any more.
+type PeerReached struct {
+	peer      PeerView
+	reachable bool
+}
+
+// NewPeerReached makes the event.
+func NewPeerReached(peer PeerView, reachable bool) PeerReached {
+	return PeerReached{peer: peer, reachable: reachable}
+}
+
+// Peer is the proxy.
+func (event PeerReached) Peer() PeerView { return event.peer }
+
+// IsReachable reports whether it answers.
+func (event PeerReached) IsReachable() bool { return event.reachable }
+
+func (PeerReached) isEvent() {}
