Soak: judge what a read shows by the order of the log

Trace: the shown write (beta4x18 and others) had been sent to a proxy that was frozen then; its caller was told TIMEOUT, which promises nothing, and wrote the next number elsewhere; the first one took effect when the proxy woke, behind it in the log. The read showed the end of the log. The check now compares the places in the log, where it compared numbers; it stays as strict otherwise.

--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -228,7 +228,7 @@
 		}
 	}
 	for _, read := range history.reads {
-		if missed := world.missed(read, byItem[read.item]); missed != nil {
+		if missed := world.missed(service, read, byItem[read.item]); missed != nil {
 			t.Errorf("read %s on route %s shows %s=%d and misses %s=%d, acknowledged %s before it began",
 				read.id, read.route, read.item, read.number, missed.id, missed.number, read.began.Sub(missed.acked))
 		}
@@ -236,8 +236,16 @@
 	t.Logf("%s: %d reads, writes by outcome %v, %d broken connections", service, len(history.reads), sorted(outcomes), history.broken.Load())
 }
 
-// missed finds a write that the read had to show and did not.
-func (world *world) missed(read seen, writes []*written) *written {
+// missed finds a write that the read had to show and did not. What it shows may
+// stand behind that write in the log although it was sent before: a write without
+// an answer may take effect late.
+func (world *world) missed(service string, read seen, writes []*written) *written {
+	shown := 0
+	for _, one := range writes {
+		if one.number == read.number {
+			shown = world.platform.Place(service, one.id)
+		}
+	}
 	for _, one := range writes {
 		if one.code != "" || one.number <= read.number || world.platform.RolledBack(one.id) {
 			continue
@@ -246,7 +254,7 @@
 		if read.route == "strict" || read.route == "own" && read.item == fmt.Sprintf("item%d", read.caller) && one.session == read.session {
 			allowed = 0
 		}
-		if one.acked.Add(allowed).Before(read.began) {
+		if one.acked.Add(allowed).Before(read.began) && world.platform.Place(service, one.id) >= shown {
 			return one
 		}
 	}
