Watch the directory oneself after one failed watcher

The store itself would have answered. Ruled out: a stale mirror, which its age had shown (3.2 s at second 3).

One failure or stale page is enough now to watch oneself for 3 s: at worst 2.2 s and a list.

--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -126,7 +126,16 @@
 
 var near, far = ebonywood.NewPeerView("near", "a", "near"), ebonywood.NewPeerView("far", "b", "far")
 
-// TestStaleWatcherIsLeft for another one, and in the end for the directory itself.
+// alone reports whether the process watches by itself, and lets the time pass after
+// which it would follow again.
+func (mirror *mirror) alone() bool {
+	_, found := mirror.upstream()
+	mirror.aloneUntil = 0
+	return !found
+}
+
+// TestStaleWatcherIsLeft at once for the directory itself, and later for another
+// watcher.
 func TestStaleWatcherIsLeft(t *testing.T) {
 	item := ebonywood.NewItem("members/m0", nil, 3)
 	ages := map[string]ebonywood.Millis{"near": 10, "far": 20}
@@ -144,24 +153,28 @@
 	ages["near"] = staleSpan + 1
 	peer, _ := mirror.upstream()
 	mirror.followPeer(t.Context(), peer)
+	require.True(t, mirror.alone())
 	peer, found := mirror.upstream()
 	require.True(t, found)
 	require.Equal(t, "far", peer.Name())
 	ages["far"] = staleSpan + 1
 	mirror.followPeer(t.Context(), peer)
+	require.True(t, mirror.alone())
 	_, found = mirror.upstream()
-	require.False(t, found, "this process watches by itself")
+	require.False(t, found, "both are passed over")
 }
 
-// TestUnreachableWatcherIsLeft as well.
-func TestUnreachableWatcherIsLeft(t *testing.T) {
+// TestOneFailureSuffices: with all watchers out of reach, a process that tried them
+// one after the other would know a change too late.
+func TestOneFailureSuffices(t *testing.T) {
 	relay := &fakeRelay{follow: func(string) (ebonywood.MirrorPage, error) {
-		return ebonywood.MirrorPage{}, errors.New("connection refused")
+		return ebonywood.MirrorPage{}, errors.New("i/o timeout")
 	}}
-	mirror := follow(t, relay, near)
-	mirror.followPeer(t.Context(), near)
-	_, found := mirror.upstream()
-	require.False(t, found)
+	mirror := follow(t, relay, near, far, ebonywood.NewPeerView("next", "a", "next"))
+	peer, _ := mirror.upstream()
+	mirror.followPeer(t.Context(), peer)
+	require.True(t, mirror.alone())
+	require.Len(t, relay.asked, 1)
 }
 
 // TestSeedsHelpAProcessThatBegins while the directory refuses it, of whatever age
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -9,8 +9,9 @@
 )
 
 // In a large fleet a few proxies watch the directory, and the others follow those:
-// the calls at the directory don't grow with the fleet. A follower whose watchers
-// have not heard from the directory lately watches by itself.
+// the calls at the directory don't grow with the fleet. A follower whose watcher
+// fails, or has not heard from the directory lately, watches by itself for a while:
+// trying one watcher after the other could take longer than a change may.
 
 const (
 	// followWait is how long a follower waits for a change.
@@ -20,8 +21,10 @@
 	// staleSpan is the age above which a watcher's mirror is not good enough: a
 	// watch, the attempt after it and the way of the answer.
 	staleSpan ebonywood.Millis = 2600
-	// unfollowedSpan is how long a watcher that failed or was stale is passed over.
-	unfollowedSpan ebonywood.Millis = 3000
+	// aloneSpan is how long a follower watches by itself after its watcher failed or
+	// was stale, unfollowedSpan how long it passes over that watcher.
+	aloneSpan      ebonywood.Millis = 3000
+	unfollowedSpan ebonywood.Millis = 6000
 	// seedLimit bounds the question to a seed.
 	seedLimit = 500 * time.Millisecond
 )
@@ -35,6 +38,9 @@
 		return peer, false
 	}
 	now := edge.port.Clock().Now()
+	if now < mirror.aloneUntil {
+		return peer, false
+	}
 	zone := edge.port.Settings().Zone()
 	var near, far []ebonywood.PeerView
 	for _, watcher := range owners.Watchers() {
@@ -84,7 +90,9 @@
 		return
 	}
 	edge.port.Log().Info("unfollowed", "peer", peer.Name(), "why", why, "ageMs", int64(page.Age()))
-	mirror.unfollowed[peer.Address()] = edge.port.Clock().Now() + unfollowedSpan
+	now := edge.port.Clock().Now()
+	mirror.aloneUntil = now + aloneSpan
+	mirror.unfollowed[peer.Address()] = now + unfollowedSpan
 	mirror.followed = ""
 }
 
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -45,8 +45,10 @@
 	at     int64
 	pauses int
 	// followed is the address of the watcher that this process follows, cursor the
-	// place in its mirror; unfollowed is until when watchers are passed over.
+	// place in its mirror; unfollowed is until when watchers are passed over, and
+	// aloneUntil until when all are.
 	followed   string
+	aloneUntil ebonywood.Millis
 	cursor     ebonywood.Cursor
 	unfollowed map[string]ebonywood.Millis
 }
