Suspect who claims to lead; fewer calls while the store is away; a lease of the duty's own

The servers on the far side lapsed from the list, and their successors had never reached the primary, so they reported nothing; a majority of votes never came. A server now suspects the member that claims to lead if it can't be reached. After the split was healed servers waited up to 2 s for a connection, since those that had stood in for them kept theirs; a pool that this process has no use for is closed at once.

The duty's key has a lease of its own with the former 1.2 s.

--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -149,9 +149,11 @@
 		"instance", each.id, "member", event.Member(), "reachable", event.IsReachable(), "isPrimary", event.Member() == each.primary)}
 }
 
-func (each *instance) isPrimaryLost() bool {
-	known := each.find(each.primary)
-	return each.primary != "" && known != nil && known.unreachable
+func (each *instance) isPrimaryLost() bool { return each.isUnreachable(each.primary) }
+
+func (each *instance) isUnreachable(id ebonywood.MemberID) bool {
+	known := each.find(id)
+	return known != nil && known.unreachable
 }
 
 // presumed is the primary, or the one that claims to lead while this process has
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -203,8 +203,8 @@
 func (decision *Succession) announce() []ebonywood.Action {
 	var suspects []ebonywood.MemberID
 	for _, each := range decision.instances {
-		if each.isPrimaryLost() {
-			suspects = append(suspects, each.primary)
+		if primary := each.presumed(); each.watched && each.isUnreachable(primary) {
+			suspects = append(suspects, primary)
 		}
 	}
 	slices.Sort(suspects)
@@ -293,7 +293,7 @@
 	if primary == "" {
 		return false
 	}
-	lost := each.isPrimaryLost()
+	lost := each.isUnreachable(primary)
 	if decision.away {
 		return lost && now-each.lostAt > aloneSpan && each.reachesOthers()
 	}
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -323,3 +323,20 @@
 	drive.send(ebonywood.NewPeerReached(servers[0], true))
 	require.False(t, isolated())
 }
+
+// TestNewServerSuspectsWhoClaimsToLead although it never reached that member: after a
+// split those who did may be cut off from the directory.
+func TestNewServerSuspectsWhoClaimsToLead(t *testing.T) {
+	drive := lead(t)
+	drive.send(ebonywood.NewDutyChanged(false, 0))
+	drive.serve("p1", "p2")
+	drive.pass(5000)
+	drive.actions = nil
+	drive.serve("p0", "p2")
+	drive.send(ebonywood.NewReachChanged(db, first, false))
+	require.Contains(t, drive.actions, ebonywood.Action(ebonywood.NewAnnounceSuspects([]ebonywood.MemberID{first})))
+	drive.actions = nil
+	drive.serve("p1", "p2")
+	drive.pass(50)
+	require.Contains(t, drive.actions, ebonywood.Action(ebonywood.NewAnnounceSuspects(nil)), "it serves no more")
+}
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -40,15 +40,22 @@
 	callLimit = time.Second
 	// endLimit bounds the giving back of the lease at the end.
 	endLimit = 300 * time.Millisecond
-	// leaseTTL is how long the lease outlives its last renewal.
-	leaseTTL ebonywood.Millis = 1200
-	// renewPeriod is the time between two renewals.
-	renewPeriod = 400 * time.Millisecond
-	// retryPause follows a call that failed, doubled so many times at most.
-	retryPause     = 100 * time.Millisecond
-	retryDoublings = 3
-	// dutySpread is the random pause before a free duty is taken.
-	dutySpread = 100 * time.Millisecond
+	// dutyTTL is how long the duty's lease outlives its last renewal, and that of a
+	// report in a fleet of no more than smallFleet proxies. In a larger one a report
+	// has largeFleetTTL.
+	dutyTTL       ebonywood.Millis = 1200
+	largeFleetTTL ebonywood.Millis = 2400
+	smallFleet                     = 8
+	// retryPause follows a call that failed, doubled so many times at most by the
+	// mirror and by the keeper.
+	retryPause      = 100 * time.Millisecond
+	retryDoublings  = 3
+	keeperDoublings = 2
+	// dutySpread is the least random pause before a free duty is taken;
+	// dutySpreadPerProxy, up to dutySpreadLimit, is that of a large fleet.
+	dutySpread         = 100 * time.Millisecond
+	dutySpreadPerProxy = 4 * time.Millisecond
+	dutySpreadLimit    = 400 * time.Millisecond
 )
 
 var _ ebonywood.Mirror = (*Edge)(nil)
@@ -68,7 +75,6 @@
 	away     bool
 	returned time.Time
 	answered time.Time
-	lease    ebonywood.LeaseID
 	suspects []ebonywood.MemberID
 	leaving  bool
 	written  bool
@@ -123,7 +129,6 @@
 	case <-edge.group.Context().Done():
 	}
 	edge.group.Stop()
-	edge.giveBack()
 	return edge.group.Wait()
 }
 
@@ -246,8 +251,15 @@
 	edge.checkOwnKey(items)
 }
 
-// takeDuty compares the duty's key with this process's claim.
+// takeDuty compares the duty's key with this process's claim. A mirror that is behind
+// the answer to a claim tells of an earlier key.
 func (edge *Edge) takeDuty(ctx context.Context, item ebonywood.Item) {
+	edge.mutex.Lock()
+	earlier := item.Revision() > 0 && item.Revision() < edge.duty.Revision()
+	edge.mutex.Unlock()
+	if earlier {
+		return
+	}
 	var value dutyValue
 	held := item.Revision() > 0 && json.Unmarshal(item.Value(), &value) == nil && value.Nonce == edge.nonce
 	edge.mutex.Lock()
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -19,11 +19,11 @@
 	watchWait ebonywood.Millis = 1600
 	// purgeWait is the same while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
-	// listLimit bounds the attempts to list, listPause is the time between two of
-	// them.
+	// listLimit bounds the attempts to list, listPause is the time between the first
+	// two of them, which doubles.
 	listLimit    = 1600 * time.Millisecond
 	listPause    = 300 * time.Millisecond
-	listAttempts = 5
+	listAttempts = 4
 	// pacePerProxy, up to paceLimit, is the least time between two watches.
 	pacePerProxy = time.Millisecond
 	paceLimit    = 100 * time.Millisecond
@@ -169,7 +169,7 @@
 			if begun < listAttempts {
 				begun++
 				mirror.edge.group.Go(attempt)
-				next.Reset(listPause)
+				next.Reset(listPause << (begun - 1))
 			}
 		case result := <-results:
 			ended++
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -80,10 +80,10 @@
 
 // trim adjusts the pools of an instance to this process's share.
 func (edge *Edge) trim(snapshot *ebonywood.Snapshot, configured ebonywood.Instance, view *ebonywood.InstanceView) {
-	if !snapshot.IsServed(view.ID()) {
+	if !snapshot.IsWatched(view.ID()) {
 		for _, each := range view.Members() {
 			if known := edge.known(each.Member().ID()); known != nil {
-				known.trim(0, leastConnections, leastSlots)
+				known.retire()
 			}
 		}
 		return
@@ -99,6 +99,19 @@
 	}
 }
 
+// retire closes the connections that nothing uses, so that the proxies that serve the
+// member now can open theirs.
+func (pool *pool) retire() {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	for _, each := range pool.idle {
+		each.conn.Close()
+		pool.open--
+	}
+	pool.idle = nil
+	pool.resize()
+}
+
 // known finds the pool of a member, nil if there is none.
 func (edge *Edge) known(id ebonywood.MemberID) *pool {
 	edge.mutex.Lock()
