--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -40,12 +40,11 @@
 	callLimit = time.Second
 	// endLimit bounds the giving back of the lease at the end.
 	endLimit = 300 * time.Millisecond
-	// dutyTTL is how long the duty's lease outlives its last renewal, and that of a
-	// report in a fleet of no more than smallFleet proxies. In a larger one a report
-	// has largeFleetTTL.
-	dutyTTL       ebonywood.Millis = 1200
-	largeFleetTTL ebonywood.Millis = 2400
-	smallFleet                     = 8
+	// dutyTTL is how long the duty's lease outlives its last renewal, reportTTL the
+	// same for this proxy's report; its loss is noticed sooner by those that send it
+	// work.
+	dutyTTL   ebonywood.Millis = 1200
+	reportTTL ebonywood.Millis = 2400
 	// retryPause follows a call that failed, doubled so many times at most by the
 	// mirror and by the keeper.
 	retryPause      = 100 * time.Millisecond
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -89,7 +89,7 @@
 	edge := keeper.edge
 	if keeper.own.isDue() {
 		called = true
-		made, err := keeper.own.hold(ctx, edge.port.Directory(), edge.ownTTL())
+		made, err := keeper.own.hold(ctx, edge.port.Directory(), reportTTL)
 		if err != nil {
 			return true, err
 		}
@@ -110,15 +110,6 @@
 	return true, err
 }
 
-// ownTTL is the time to live of this proxy's report. In a large fleet the loss of
-// one proxy is noticed by those that send it work, so the report may last longer.
-func (edge *Edge) ownTTL() ebonywood.Millis {
-	if edge.port.Snapshot().Reports() > smallFleet {
-		return largeFleetTTL
-	}
-	return dutyTTL
-}
-
 func (keeper *keeper) writeOwnKey(ctx context.Context) error {
 	edge := keeper.edge
 	limited, cancel := context.WithTimeout(ctx, callLimit)
