Metrics of pools, samples, duty, peers, store calls and lost log lines; settings in the soak

The soak's sessions set values and prepare statements under a name that all use; each answer is held against what the statement ran with.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOFUMPT := $(TOOLS)/gofumpt
 GOLANGCI := $(TOOLS)/golangci-lint
 
-.PHONY: build demo test lint measure fuzz soak race tools
+.PHONY: build demo test lint measure fuzz soak fleet-soak race tools
 
 build:
 	$(GO) build -o $(BIN)/ebonywood ./cmd/ebonywood
@@ -62,3 +62,10 @@
 STEPS ?= 100000
 soak:
 	$(GO) test -count=1 -v -timeout 60m -run TestSoak ./test/fuzz -seed=$(SEED) -seeds=$(SEEDS) -steps=$(STEPS)
+
+# Real processes before the stand-in of the users' platform, with faults from
+# outside: make fleet-soak SEED=1 SEEDS=50. PROXIES sets how many run; 0 draws.
+PROXIES ?= 0
+SPAN ?= 8s
+fleet-soak:
+	$(GO) test -count=1 -v -timeout 120m ./test/soak -seed=$(SEED) -seeds=$(SEEDS) -span=$(SPAN) -proxies=$(PROXIES)
--- a/internal/command/log.go
+++ b/internal/command/log.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/zerologr"
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
@@ -29,9 +30,11 @@
 
 // newBoundedLog writes JSON lines to standard output and never blocks who logs.
 // Lines that a stalled reader makes it lose are counted and told.
-func newBoundedLog(name string) (log logr.Logger, stop func()) {
+func newBoundedLog(name string, scope tally.Scope) (log logr.Logger, stop func()) {
 	var told logr.Logger
+	lost := scope.Counter("linesLost")
 	writer := diode.NewWriter(os.Stdout, logBacklog, logPoll, func(missed int) {
+		lost.Inc(int64(missed))
 		told.Info("linesLost", "count", missed)
 	})
 	told = logTo(writer, name)
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -55,10 +55,10 @@
 	}
 	read = read.WithOperatorsPort(operatorsPort)
 	limitRuntime(read)
-	log, stopLog := newBoundedLog(read.Name())
-	defer stopLog()
 	meter := metrics.New()
 	defer meter.Close()
+	log, stopLog := newBoundedLog(read.Name(), meter.Scope())
+	defer stopLog()
 	proxy, err := kernel.New(read, log, meter, registry.Standard(), platform.Decisions(), platform.Edges(read))
 	if err != nil {
 		return err
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -66,9 +66,11 @@
 			counters.log.Info("linesDropped", "count", dropped)
 		}
 	}
-	if counters.lines.Add(1) <= linesPerSecond {
-		counters.log.Info(message, details...)
+	if counters.lines.Add(1) > linesPerSecond {
+		counters.count("linesDropped", message)
+		return
 	}
+	counters.log.Info(message, details...)
 }
 
 // account records how a request ended, for the metrics and the service levels,
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -76,6 +76,7 @@
 		edge.trim(snapshot, configured, view)
 	}
 	edge.dropUnlisted(listed)
+	edge.measure(snapshot)
 }
 
 // trim adjusts the pools of an instance to this process's share.
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/cost"
 	"github.com/ebonywood/ebonywood/internal/freshness"
@@ -51,6 +53,7 @@
 	costs     cost.Table
 
 	counters counters
+	gauges   gauges
 
 	byReplica atomic.Int64
 	byPrimary atomic.Int64
@@ -92,6 +95,7 @@
 		peers:         map[ebonywood.PeerView]*peer{},
 		inTransaction: map[*session]struct{}{},
 		counters:      newCounters(port.Metrics(), port.Log()),
+		gauges:        gauges{scope: port.Metrics(), known: map[string]tally.Gauge{}},
 	}
 }
 
--- a/test/soak/caller_test.go
+++ b/test/soak/caller_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -83,6 +84,9 @@
 	next   int
 	// ids counts this caller's requests, session its sessions.
 	ids, session int
+	// settings and prepared are what the session has set and prepared.
+	settings map[string]string
+	prepared bool
 }
 
 // answer is the reply to one request; cut says that there was none.
@@ -138,6 +142,7 @@
 	}
 	caller.socket, caller.reader = socket, reader
 	caller.session++
+	caller.settings, caller.prepared = map[string]string{}, false
 	return true
 }
 
@@ -177,16 +182,36 @@
 // operate does one operation: a write, a read of the own item or another's, or a
 // transaction.
 func (caller *caller) operate() {
-	switch caller.random.IntN(6) {
+	switch caller.random.IntN(8) {
 	case 0, 1:
 		caller.write()
 	case 2:
 		caller.transact()
+	case 3:
+		caller.prepare()
 	default:
 		caller.read()
 	}
 }
 
+// prepare sets something, or prepares a statement under the name that all use.
+func (caller *caller) prepare() {
+	name, value := fmt.Sprintf("name%d", caller.random.IntN(3)), strconv.Itoa(caller.random.IntN(100))
+	text := "SET " + name + " " + value
+	if caller.random.IntN(3) == 0 {
+		text = fmt.Sprintf("PREPARE s1 READ q%d", caller.number)
+	}
+	if _, got := caller.ask(text); got.cut || got.code != "" {
+		caller.leave()
+		return
+	}
+	if strings.HasPrefix(text, "SET") {
+		caller.settings[name] = value
+	} else {
+		caller.prepared = true
+	}
+}
+
 func (caller *caller) prepareWrite() (*written, string) {
 	caller.next++
 	one := &written{item: caller.item(), number: caller.next, session: caller.session}
@@ -212,6 +237,10 @@
 	if !strings.HasPrefix(got.signature, id+".") || len(got.rows) != rows {
 		caller.history.fault("%s succeeded with %+v", id, got)
 	}
+	_, settings, _ := caller.world.platform.Ran(id)
+	if len(settings)+len(caller.settings) > 0 && !maps.Equal(settings, caller.settings) {
+		caller.history.fault("%s ran with %v, its session has %v", id, settings, caller.settings)
+	}
 	caller.history.mutex.Lock()
 	defer caller.history.mutex.Unlock()
 	caller.history.served[caller.route]++
@@ -223,7 +252,14 @@
 		item = fmt.Sprintf("item%d", caller.random.IntN(caller.world.callers))
 	}
 	began := time.Now()
-	id, got := caller.ask("READ " + item)
+	text := "READ " + item
+	if caller.prepared && caller.random.IntN(2) == 0 {
+		text = "EXEC s1 " + item
+	}
+	id, got := caller.ask(text)
+	if got.code == "NOSTMT" {
+		caller.history.fault("%s: the prepared statement is not known", id)
+	}
 	caller.note(id, got, 1)
 	caller.saw(id, item, began, got)
 }
