Limits of the platform's proxy in a YAML file, from one table

13 figures that an operator may want to change were constants. The table in the root package has name, preset, range and meaning; the file is checked against it with all faults at once, 'ebonywood limits' prints it, and a test holds the operators' page to it. Presets are unchanged.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -71,7 +71,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newProxy(), newNode(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
+	root.AddCommand(newProxy(), newNode(), newLimits(), newCheck(), newPublish(), newDiff(), newStatus(), newReport(),
 		newExplain(), newDemo(), newStandin(), newVersion())
 	return root
 }
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -9,10 +9,12 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
 	"github.com/spf13/cobra"
 
 	"github.com/ebonywood/ebonywood/internal/kernel"
+	"github.com/ebonywood/ebonywood/internal/limitsfile"
 	"github.com/ebonywood/ebonywood/internal/metrics"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/platform"
@@ -32,6 +34,7 @@
 
 func newNode() *cobra.Command {
 	var operatorsPort int
+	var limits string
 	command := &cobra.Command{
 		Use:   "node",
 		Short: "Run a proxy on the platform until it is asked to stop",
@@ -40,20 +43,22 @@
 leaves. SIGHUP reads the settings file again and logs what it finds.`,
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return runNode(command.Context(), operatorsPort)
+			return runNode(command.Context(), operatorsPort, limits)
 		},
 	}
 	command.Flags().IntVar(&operatorsPort, "operators-port", 0,
 		"the port for metrics and status; 0 takes the first of the host's internal ports")
+	command.Flags().StringVar(&limits, "limits", "", "a YAML file that sets limits; 'ebonywood limits' lists them")
 	return command
 }
 
-func runNode(ctx context.Context, operatorsPort int) error {
+func runNode(ctx context.Context, operatorsPort int, limitsPath string) error {
 	read, err := settings.Read(settings.Path())
-	if err != nil {
+	limits, limitsErr := limitsfile.Read(limitsPath)
+	if err = errors.CombineErrors(err, limitsErr); err != nil {
 		return err
 	}
-	read = read.WithOperatorsPort(operatorsPort)
+	read = read.WithOperatorsPort(operatorsPort).WithLimits(limits)
 	limitRuntime(read)
 	meter := metrics.New()
 	defer meter.Close()
--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -22,14 +22,12 @@
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
-		return New(ebonywood.NewPeerView(settings.Name(), settings.Zone(), settings.PeerAddress()))
+		self := ebonywood.NewPeerView(settings.Name(), settings.Zone(), settings.PeerAddress())
+		return New(self, settings.Limits().Count(ebonywood.LimitServers))
 	})
 }
 
 const (
-	// serversWanted is how many proxies serve an instance: enough that the loss of
-	// one moves little, few enough that each has connections to spare.
-	serversWanted = 8
 	// leastConnections is the least number of connections to a member with which a
 	// proxy can serve.
 	leastConnections = 2
@@ -41,7 +39,10 @@
 
 // Placement is the decision.
 type Placement struct {
-	self    ebonywood.PeerView
+	self ebonywood.PeerView
+	// wanted is how many proxies serve an instance: enough that the loss of one moves
+	// little, few enough that each has connections to spare.
+	wanted  int
 	leaving bool
 	set     *ebonywood.ObjectSet
 	peers   map[string]ebonywood.PeerView
@@ -50,9 +51,9 @@
 	owners  *ebonywood.Owners
 }
 
-// New makes the decision of a proxy.
-func New(self ebonywood.PeerView) *Placement {
-	return &Placement{self: self, peers: map[string]ebonywood.PeerView{}, owners: &ebonywood.Owners{}}
+// New makes the decision of a proxy, where so many are wanted to serve an instance.
+func New(self ebonywood.PeerView, wanted int) *Placement {
+	return &Placement{self: self, wanted: wanted, peers: map[string]ebonywood.PeerView{}, owners: &ebonywood.Owners{}}
 }
 
 // Handle takes one event.
@@ -100,7 +101,7 @@
 		}
 		byZone[peer.Zone()][name] = true
 	}
-	depth := perZone(serversWanted, len(byZone))
+	depth := perZone(placement.wanted, len(byZone))
 	if depth != placement.depth {
 		placement.depth, placement.zones = depth, map[string]*rendezvous.Table{}
 	}
@@ -145,7 +146,7 @@
 			byInstance[instance.ID()] = placement.servers(instance)
 		}
 	}
-	watchers := placement.first(watchersKey, serversWanted)
+	watchers := placement.first(watchersKey, placement.wanted)
 	same := slices.Equal(watchers, placement.owners.Watchers()) &&
 		maps.EqualFunc(byInstance, placement.owners.All(), func(left, right []ebonywood.PeerView) bool {
 			return slices.Equal(left, right)
@@ -159,7 +160,7 @@
 
 // servers are the proxies that serve an instance.
 func (placement *Placement) servers(instance ebonywood.Instance) []ebonywood.PeerView {
-	wanted := serversWanted
+	wanted := placement.wanted
 	if connections := instance.Connections(); connections > 0 {
 		wanted = min(wanted, max(1, (connections-reservedConnections)/leastConnections))
 	}
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -31,7 +31,7 @@
 
 // place has the given proxy decide among so many.
 func place(self, proxies, zones, instances, connections int) *Placement {
-	placement := New(peer(self, zones))
+	placement := New(peer(self, zones), 8)
 	placement.Handle(0, set(instances, connections))
 	placement.Handle(0, reports(proxies, zones))
 	return placement
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -26,18 +26,13 @@
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
-		return New(settings.Name())
+		return New(settings.Name(), settings.Limits())
 	})
 }
 
 const (
 	// askPeriod is the pause between two questions who leads.
 	askPeriod ebonywood.Millis = 100
-	// confirmSpan is how long a primary has to be out of reach before the holder
-	// acts on a majority of reports.
-	confirmSpan ebonywood.Millis = 100
-	// aloneSpan is the same while the directory is away.
-	aloneSpan ebonywood.Millis = 1500
 	// leaderlessSpan is how long no member may lead before one is chosen anew.
 	leaderlessSpan ebonywood.Millis = 1500
 	// isolatedSpan is how long the directory and a primary must have been out of
@@ -49,7 +44,12 @@
 
 // Succession is the decision.
 type Succession struct {
-	self      string
+	self string
+	// confirmLoss is how long a primary has to be out of reach before the holder acts
+	// on a majority of reports, confirmLossAlone the same while the directory is away.
+	confirmLoss      ebonywood.Millis
+	confirmLossAlone ebonywood.Millis
+
 	instances map[ebonywood.InstanceID]*instance
 	reports   []ebonywood.NodeReport
 	owners    *ebonywood.Owners
@@ -65,9 +65,11 @@
 }
 
 // New makes the decision of the named proxy.
-func New(self string) *Succession {
+func New(self string, limits ebonywood.Limits) *Succession {
 	return &Succession{
-		self: self, instances: map[ebonywood.InstanceID]*instance{}, owners: &ebonywood.Owners{},
+		self: self, confirmLoss: limits.Millis(ebonywood.LimitConfirmLoss),
+		confirmLossAlone: limits.Millis(ebonywood.LimitConfirmLossAlone),
+		instances:        map[ebonywood.InstanceID]*instance{}, owners: &ebonywood.Owners{},
 		lostPeers: map[ebonywood.PeerView]ebonywood.Millis{},
 	}
 }
@@ -295,7 +297,7 @@
 	}
 	lost := each.isUnreachable(primary)
 	if decision.away {
-		return lost && now-each.lostAt > aloneSpan && each.reachesOthers()
+		return lost && now-each.lostAt > decision.confirmLossAlone && each.reachesOthers()
 	}
 	votes, voters := 0, 0
 	for _, report := range decision.voters(each.id) {
@@ -314,7 +316,7 @@
 	if votes*2 <= voters {
 		return false
 	}
-	return !lost || now-each.lostAt > confirmSpan
+	return !lost || now-each.lostAt > decision.confirmLoss
 }
 
 // Contribute adds what is believed of each instance to the snapshot.
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -15,6 +15,8 @@
 	second ebonywood.MemberID   = "m1"
 	third  ebonywood.MemberID   = "m2"
 	token                       = 7
+	// aloneLimit is the preset span before the holder goes on alone.
+	aloneLimit ebonywood.Millis = 1500
 )
 
 // driver drives the decision by its own clock.
@@ -33,7 +35,7 @@
 // lead begins with three members of which the first leads, three proxies, and the
 // duty here.
 func lead(t *testing.T) *driver {
-	drive := &driver{t: t, decision: New("p0"), now: 1000}
+	drive := &driver{t: t, decision: New("p0", ebonywood.Limits{}), now: 1000}
 	drive.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, false), listed(second, false), listed(third, false)}))
 	drive.report(nil, nil)
 	drive.send(ebonywood.NewDutyChanged(true, token))
@@ -140,7 +142,7 @@
 	drive := lead(t)
 	drive.send(ebonywood.NewDirectoryChanged(false))
 	drive.send(ebonywood.NewReachChanged(db, first, false))
-	drive.pass(aloneSpan - 100)
+	drive.pass(aloneLimit - 100)
 	require.Empty(t, drive.orders())
 	drive.pass(300)
 	drive.answer(map[ebonywood.MemberID]uint64{second: 3})
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -40,11 +40,6 @@
 	callLimit = time.Second
 	// endLimit bounds the giving back of the lease at the end.
 	endLimit = 300 * time.Millisecond
-	// dutyTTL is how long the duty's lease outlives its last renewal, reportTTL the
-	// same for this proxy's report; its loss is noticed sooner by those that send it
-	// work.
-	dutyTTL   ebonywood.Millis = 1200
-	reportTTL ebonywood.Millis = 2400
 	// retryPause follows a call that failed, doubled so many times at most by the
 	// mirror and by the keeper.
 	retryPause      = 100 * time.Millisecond
@@ -151,6 +146,8 @@
 	return true
 }
 
+func (edge *Edge) limits() ebonywood.Limits { return edge.port.Settings().Limits() }
+
 func (edge *Edge) rouse() {
 	select {
 	case edge.wake <- struct{}{}:
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -112,8 +112,9 @@
 	ebonywood.Settings
 }
 
-func (fakeSettings) Zone() string    { return "a" }
-func (fakeSettings) Seeds() []string { return []string{"s1", "s2"} }
+func (fakeSettings) Limits() ebonywood.Limits { return ebonywood.Limits{} }
+func (fakeSettings) Zone() string             { return "a" }
+func (fakeSettings) Seeds() []string          { return []string{"s1", "s2"} }
 
 // follow makes the mirror of a process that two others watch for.
 func follow(t *testing.T, relay *fakeRelay, watchers ...ebonywood.PeerView) *mirror {
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -89,7 +89,7 @@
 	edge := keeper.edge
 	if keeper.own.isDue() {
 		called = true
-		made, err := keeper.own.hold(ctx, edge.port.Directory(), reportTTL)
+		made, err := keeper.own.hold(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitReportTTL))
 		if err != nil {
 			return true, err
 		}
@@ -103,7 +103,7 @@
 	if keeper.duty.id == 0 || !keeper.duty.isDue() {
 		return called, nil
 	}
-	made, err := keeper.duty.hold(ctx, edge.port.Directory(), dutyTTL)
+	made, err := keeper.duty.hold(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitDutyTTL))
 	if made {
 		edge.port.Log().Info("lease", "lease", int64(keeper.duty.id), "ttlMs", int64(keeper.duty.ttl), "of", "duty")
 	}
@@ -156,7 +156,7 @@
 		return nil
 	}
 	if keeper.duty.isDue() {
-		if _, err := keeper.duty.hold(ctx, edge.port.Directory(), dutyTTL); err != nil {
+		if _, err := keeper.duty.hold(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitDutyTTL)); err != nil {
 			return err
 		}
 	}
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -13,11 +13,7 @@
 const everything = ""
 
 const (
-	// watchWait is how long a watch waits for a change. A watch may be left without
-	// an answer while changes are made, so it is well below the time in which a
-	// change has to be in force.
-	watchWait ebonywood.Millis = 1600
-	// purgeWait is the same while lapsed entries are kept.
+	// purgeWait is how long a watch waits while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
 	// listLimit bounds the attempts to list, listPause is the time between the first
 	// two of them, which doubles.
@@ -207,7 +203,9 @@
 
 // follow takes the next changes.
 func (mirror *mirror) follow(ctx context.Context) error {
-	wait := watchWait
+	// A watch may be left without an answer while changes are made, so it is well below
+	// the time in which a change has to be in force.
+	wait := mirror.edge.limits().Millis(ebonywood.LimitWatchWait)
 	if len(mirror.lapsed) > 0 {
 		wait = purgeWait
 	}
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -6,13 +6,9 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-const (
-	// waitShare is the share of a route's promised time that a statement may wait
-	// for a connection.
-	waitShare = 0.6
-	// againShare is the same for each further member, if the first share is used up.
-	againShare = 0.25
-)
+// againShare is the share of a route's promised time that a statement may wait at each
+// further member, if its first share is used up.
+const againShare = 0.25
 
 // verdict is what may be done after an attempt on one connection.
 type verdict uint8
@@ -47,7 +43,7 @@
 	if promised <= 0 || each.route.IsPaid() {
 		return each.until
 	}
-	patience := each.began.Add(time.Duration(waitShare * float64(promised)))
+	patience := each.began.Add(time.Duration(each.waitShare * float64(promised)))
 	again := now.Add(time.Duration(againShare * float64(promised)))
 	if patience.Before(again) {
 		patience = again
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -16,8 +16,6 @@
 	primaryCost   = 30.0
 	// leasedCost is the expected wait behind each statement of this process.
 	leasedCost = 9.0
-	// holdLimit is how long a request waits for a primary that was just lost.
-	holdLimit ebonywood.Millis = 700
 	// recentWrite is how long after a write a replica that is not known to hold it
 	// is passed over.
 	recentWrite ebonywood.Millis = 60
@@ -34,7 +32,7 @@
 			return edge.pool(id, member.Member()), nil
 		}
 		lost := edge.now() - view.PrimaryLostAt()
-		left := min(time.Until(until), (holdLimit - lost).Duration())
+		left := min(time.Until(until), (edge.limits.Millis(ebonywood.LimitHoldPrimary) - lost).Duration())
 		if left <= 0 {
 			return nil, noPrimary(id)
 		}
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// linesPerSecond bounds the log lines about single requests.
-	linesPerSecond = 20
 	// namesCounted bounds the routes and outcomes with a timer of their own.
 	namesCounted = 2000
 )
@@ -27,10 +25,12 @@
 	names  *atomic.Int64
 	second *atomic.Int64
 	lines  *atomic.Int64
+	// most bounds the log lines about single requests in a second.
+	most int64
 }
 
-func newCounters(scope tally.Scope, log logr.Logger) counters {
-	return counters{scope: scope, log: log, byName: &sync.Map{}, names: &atomic.Int64{}, second: &atomic.Int64{}, lines: &atomic.Int64{}}
+func newCounters(scope tally.Scope, log logr.Logger, most int) counters {
+	return counters{scope: scope, log: log, byName: &sync.Map{}, names: &atomic.Int64{}, second: &atomic.Int64{}, lines: &atomic.Int64{}, most: int64(most)}
 }
 
 // count adds one to a counter with one label.
@@ -62,11 +62,11 @@
 func (counters counters) line(message string, details ...any) {
 	second := time.Now().Unix()
 	if counters.second.Swap(second) != second {
-		if dropped := counters.lines.Swap(0) - linesPerSecond; dropped > 0 {
+		if dropped := counters.lines.Swap(0) - counters.most; dropped > 0 {
 			counters.log.Info("linesDropped", "count", dropped)
 		}
 	}
-	if counters.lines.Add(1) > linesPerSecond {
+	if counters.lines.Add(1) > counters.most {
 		counters.count("linesDropped", message)
 		return
 	}
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -31,7 +31,8 @@
 	ebonywood.Settings
 }
 
-func (settings) Zone() string { return "a" }
+func (settings) Zone() string             { return "a" }
+func (settings) Limits() ebonywood.Limits { return ebonywood.Limits{} }
 
 func (port *port) Post(context.Context, ebonywood.Event) error { return nil }
 func (port *port) Snapshot() *ebonywood.Snapshot               { return port.snapshot }
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -20,8 +20,6 @@
 	leastConnections = 2
 	// defaultConnections is the cap of a member that names none.
 	defaultConnections = 20
-	// idleLimit is how long a connection beyond the share may lie idle.
-	idleLimit ebonywood.Millis = 2000
 	// crowdedSpan is how long a member that had no connection left isn't asked for
 	// another one.
 	crowdedSpan ebonywood.Millis = 200
@@ -241,6 +239,7 @@
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
+	idleLimit := pool.edge.limits.Millis(ebonywood.LimitIdleConnection)
 	pool.most = most
 	pool.resize()
 	for len(pool.idle) > 0 && pool.open > keep && now-pool.idle[0].lastUse > idleLimit {
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -10,9 +10,8 @@
 const (
 	// pulsePeriod is how often the edge looks after samples and pools.
 	pulsePeriod = 100 * time.Millisecond
-	// sampleSpan is the age at which an instance in use gets another sample, and
-	// idleSampleSpan the same for one that no caller needs.
-	sampleSpan     ebonywood.Millis = 250
+	// idleSampleSpan is the age at which an instance that no caller needs gets another
+	// sample.
 	idleSampleSpan ebonywood.Millis = 1000
 	// guessSpan is how long after its start a process guesses how many proxies
 	// share the members.
@@ -96,7 +95,7 @@
 	proxies := edge.proxies(snapshot, view.ID())
 	keep, most := share(connections, proxies)
 	for _, each := range view.Members() {
-		edge.pool(view.ID(), each.Member()).trim(keep, most, slotsOf(each.Member(), proxies))
+		edge.pool(view.ID(), each.Member()).trim(keep, most, edge.slotsOf(each.Member(), proxies))
 	}
 }
 
@@ -166,7 +165,7 @@
 	newest, any := known.samples.Newest()
 	span := idleSampleSpan
 	if now-known.used < inUse {
-		span = sampleSpan
+		span = edge.limits.Millis(ebonywood.LimitSampleAge)
 	}
 	due := !known.asking && (!any || now-newest >= span)
 	known.asking = known.asking || due
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -21,8 +21,6 @@
 	keptLimit = 500
 	// beginLimit bounds the opening of a transaction, which needs no slot.
 	beginLimit = 400 * time.Millisecond
-	// defaultTimeout bounds statements of routes that name no deadline.
-	defaultTimeout = time.Second
 )
 
 // session is one caller's session. Everything that a connection must hold before
@@ -66,6 +64,9 @@
 	// one.
 	peer  string
 	guest bool
+	// waitShare is the share of the route's promised time that the statement may wait
+	// for a connection.
+	waitShare float64
 }
 
 // left is the time until the statement's deadline.
@@ -182,10 +183,10 @@
 func (session *session) newAttempt(route *ebonywood.Route) *attempt {
 	timeout := route.Deadline().Duration()
 	if timeout <= 0 {
-		timeout = defaultTimeout
+		timeout = session.edge.limits.Span(ebonywood.LimitDefaultTimeout)
 	}
 	began := time.Now()
-	return &attempt{route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), guest: session.guest}
+	return &attempt{waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare), route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), guest: session.guest}
 }
 
 // resolve finds the prepared statement that an execution names, and rewrites the
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -39,8 +39,9 @@
 
 // Edge runs sessions.
 type Edge struct {
-	port  ebonywood.Port
-	group *rungroup.Group
+	port   ebonywood.Port
+	limits ebonywood.Limits
+	group  *rungroup.Group
 
 	mutex   sync.Mutex
 	pools   map[ebonywood.MemberID]*pool
@@ -89,12 +90,12 @@
 // New makes the edge.
 func New(port ebonywood.Port) *Edge {
 	return &Edge{
-		port: port, group: rungroup.New(context.Background()),
+		port: port, limits: port.Settings().Limits(), group: rungroup.New(context.Background()),
 		pools:         map[ebonywood.MemberID]*pool{},
 		leaders:       map[ebonywood.InstanceID]*leader{},
 		peers:         map[ebonywood.PeerView]*peer{},
 		inTransaction: map[*session]struct{}{},
-		counters:      newCounters(port.Metrics(), port.Log()),
+		counters:      newCounters(port.Metrics(), port.Log(), port.Settings().Limits().Count(ebonywood.LimitRequestLines)),
 		gauges:        gauges{scope: port.Metrics(), known: map[string]tally.Gauge{}},
 	}
 }
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -9,10 +9,6 @@
 )
 
 const (
-	// slotShare is how many statements for each slot of a member all proxies
-	// together keep under way there. The rest waits here, where it is ordered and
-	// can be refused, instead of in the member's own queue.
-	slotShare = 4
 	// leastSlots is the least share of a proxy.
 	leastSlots = 2
 )
@@ -20,10 +16,12 @@
 // errNoSlot says that a statement got no slot in time; it was not sent.
 var errNoSlot = errors.New("no slot of the member in time")
 
-// slotsOf is how many statements a proxy keeps under way at a member.
-func slotsOf(member ebonywood.Member, proxies int) int {
+// slotsOf is how many statements a proxy keeps under way at a member. The rest waits
+// here, where it is ordered and can be refused, instead of in the member's own queue.
+func (edge *Edge) slotsOf(member ebonywood.Member, proxies int) int {
 	proxies = max(1, proxies)
-	return max(leastSlots, (member.Slots()*slotShare+proxies-1)/proxies)
+	statements := member.Slots() * edge.limits.Count(ebonywood.LimitSlotShare)
+	return max(leastSlots, (statements+proxies-1)/proxies)
 }
 
 // execute runs a statement that takes a slot of the member, behind what the
--- /dev/null
+++ b/internal/limitsfile/limitsfile_test.go
@@ -0,0 +1,68 @@
+package limitsfile
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+func TestParse(t *testing.T) {
+	limits, err := Parse("limits.yaml", []byte("statementsPerSlot: 2\nwaitShare: 0.5\nholdForPrimary: 1s\n"))
+	require.NoError(t, err)
+	require.Equal(t, 2, limits.Count(ebonywood.LimitSlotShare))
+	require.InDelta(t, 0.5, limits.Share(ebonywood.LimitWaitShare), 0)
+	require.Equal(t, ebonywood.Millis(1000), limits.Millis(ebonywood.LimitHoldPrimary))
+	require.Equal(t, ebonywood.Millis(250), limits.Millis(ebonywood.LimitSampleAge), "the preset")
+}
+
+func TestEmptyFileSetsNothing(t *testing.T) {
+	for _, text := range []string{"", "# nothing\n"} {
+		limits, err := Parse("limits.yaml", []byte(text))
+		require.NoError(t, err)
+		require.Equal(t, ebonywood.Limits{}, limits)
+	}
+}
+
+// TestFaultsNameLineAndRemedy, all of them at once.
+func TestFaultsNameLineAndRemedy(t *testing.T) {
+	_, err := Parse("limits.yaml", []byte("waitShare: 7\nunheard: 1\ndutyTTL: soon\nserversPerInstance: [1]\nwatchWait: 1s\nwatchWait: 2s\n"))
+	for _, part := range []string{
+		"limits.yaml:1: waitShare: 7 is out of range; choose from 0.05 to 1", "limits.yaml:2: unheard is no limit",
+		`limits.yaml:3: dutyTTL: "soon" can't be read; write it as 1.2s`, "limits.yaml:4: serversPerInstance",
+		"limits.yaml:6: watchWait is set twice",
+	} {
+		require.ErrorContains(t, err, part)
+	}
+	_, err = Parse("limits.yaml", []byte("- a\n"))
+	require.ErrorContains(t, err, "no mapping")
+	_, err = Parse("limits.yaml", []byte("a: [\n"))
+	require.ErrorContains(t, err, "limits.yaml")
+}
+
+// TestPresetsAreInRange, and every limit is defined at its own place.
+func TestPresetsAreInRange(t *testing.T) {
+	for i, definition := range ebonywood.LimitDefinitions() {
+		least, greatest := definition.Range()
+		require.Equal(t, ebonywood.Limit(i), definition.Limit(), definition.Name())
+		require.GreaterOrEqual(t, definition.Preset(), least)
+		require.LessOrEqual(t, definition.Preset(), greatest)
+	}
+}
+
+// TestPageHoldsTheTable: the operators' page is the table, word for word.
+func TestPageHoldsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
+	require.NoError(t, err)
+	require.True(t, strings.Contains(string(page), Table()), "put this into docs/OPERATIONS.md:\n%s", Table())
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("waitShare: 0.5\nwatchWait: 2s\n"))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		_, _ = Parse("limits.yaml", text)
+	})
+}
--- a/internal/settingsfile/settingsfile.go
+++ b/internal/settingsfile/settingsfile.go
@@ -46,6 +46,9 @@
 
 var _ ebonywood.Settings = Settings{}
 
+// Limits are the presets: the PostgreSQL path has settings of its own.
+func (Settings) Limits() ebonywood.Limits { return ebonywood.Limits{} }
+
 // Read reads and checks a file. The error's message has one line for each fault.
 func Read(path string) (Settings, error) {
 	text, err := os.ReadFile(path)
--- a/plugin.go
+++ b/plugin.go
@@ -97,6 +97,8 @@
 	PrimarySilence() Millis
 	MaxCallers() int
 	DrainLimit() Millis
+	// Limits are the figures that operators may change.
+	Limits() Limits
 	// TickPeriod is how often decisions look at the time.
 	TickPeriod() Millis
 }
