Let a follower that the store refuses try another watcher

A refused follower goes back to following at once, and work waits 60 ms for a newer set: watchers and followers learn of it within milliseconds of each other.

--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -178,6 +178,33 @@
 	require.Len(t, relay.asked, 1)
 }
 
+// TestRefusedFollowerTriesAnotherWatcher: its own is stale, and the directory refuses
+// this process as well.
+func TestRefusedFollowerTriesAnotherWatcher(t *testing.T) {
+	item := ebonywood.NewItem("members/m0", nil, 3)
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		age := ebonywood.Millis(10)
+		if address == "near" {
+			age = staleSpan + 1
+		}
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{item}, age), nil
+	}}
+	mirror := follow(t, relay, near, far)
+	port := mirror.edge.port.(fakePort)
+	port.directory = &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+		return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
+	}}
+	mirror.edge.port = port
+	peer, _ := mirror.upstream()
+	mirror.followPeer(t.Context(), peer)
+	_, found := mirror.upstream()
+	require.False(t, found)
+	mirror.watch(t.Context())
+	peer, found = mirror.upstream()
+	require.True(t, found)
+	require.Equal(t, "far", peer.Name())
+}
+
 // TestSeedsHelpAProcessThatBegins while the directory refuses it, of whatever age
 // their knowledge is.
 func TestSeedsHelpAProcessThatBegins(t *testing.T) {
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -93,6 +93,8 @@
 func (mirror *mirror) watch(ctx context.Context) {
 	mirror.followed = ""
 	if err := mirror.relist(ctx); err != nil {
+		// The directory may refuse this process only; another watcher may know more.
+		mirror.aloneUntil = 0
 		mirror.askSeeds(ctx)
 		mirror.pause(ctx)
 		return
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -34,7 +34,7 @@
 	// drainPoll is how often a leaving process looks whether work for others ended.
 	drainPoll = 20 * time.Millisecond
 	// newerSetLimit is how long work waits for the object set that it was routed by.
-	newerSetLimit = 300 * time.Millisecond
+	newerSetLimit = 60 * time.Millisecond
 )
 
 // Edge is the side of a process towards the proxies that share the instances.
