Send followers only what they lack, packed and gathered; keep few idle channels

Each change of watcher sent the whole mirror, configuration included, over links of 10 Mbit/s; each of 300 reports woke all followers; followers whose page came late watched by themselves and overloaded the store, so that the operator's own write took 3.4 s; up to 32 idle channels from each proxy gave one server 5,877 connections and 294 MB.

A follower tells up to which revision it holds items, and a whole page names those without their values. Long values are packed, once for all who follow. A change waits up to 100 ms for others, by the number of items. Four channels lie idle to a peer, for 10 s at most. Followers in a model-based test leave for other mirrors at random.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,8 @@
 	$(GO) test -run xxx -fuzz FuzzReader -fuzztime $(FUZZTIME) ./internal/frame
 	$(GO) test -run xxx -fuzz FuzzRequest -fuzztime $(FUZZTIME) ./internal/edge/caller
 	$(GO) test -run xxx -fuzz FuzzWire -fuzztime $(FUZZTIME) ./internal/edge/peer
+	$(GO) test -run xxx -fuzz FuzzMessages -fuzztime $(FUZZTIME) ./internal/edge/relay
+	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/limitsfile
 	$(GO) test -run xxx -fuzz FuzzStatement -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/settings
--- a/internal/edge/directory/feed.go
+++ b/internal/edge/directory/feed.go
@@ -12,6 +12,13 @@
 // gets the whole.
 const deletionsKept = 2000
 
+const (
+	// pausePerItem, up to pauseLimit, is how long a change waits for further ones before
+	// followers are told.
+	pausePerItem = 200 * time.Microsecond
+	pauseLimit   = 100 * time.Millisecond
+)
+
 // feed is the mirror as other proxies follow it: each key with the number of its
 // last change. It belongs to many goroutines.
 type feed struct {
@@ -80,6 +87,7 @@
 		feed.mutex.Unlock()
 		select {
 		case <-changed:
+			feed.gather(ctx)
 		case <-ctx.Done():
 		case <-time.After(left.Duration()):
 		}
@@ -89,13 +97,37 @@
 	next := ebonywood.NewCursor(feed.epoch, feed.sequence)
 	age := now() - feed.fresh
 	if cursor.Epoch() != feed.epoch || cursor.Sequence() < feed.oldest || cursor.Sequence() > feed.sequence {
-		return ebonywood.NewMirrorPage(next, true, feed.after(0), age)
+		items, kept := feed.all(cursor.Revision())
+		return ebonywood.NewMirrorPage(next, true, items, age).Keeping(kept)
 	}
 	return ebonywood.NewMirrorPage(next, false, feed.after(cursor.Sequence()), age)
 }
 
-// after are the changes after a number; the mutex is held. From the beginning they
-// are what is there.
+// gather waits a little for further changes.
+func (feed *feed) gather(ctx context.Context) {
+	feed.mutex.Lock()
+	span := min(time.Duration(len(feed.items))*pausePerItem, pauseLimit)
+	feed.mutex.Unlock()
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// all is everything, of which one who holds items up to a revision keeps what is not
+// newer; the mutex is held.
+func (feed *feed) all(revision int64) (items, kept []ebonywood.Item) {
+	for _, each := range feed.items {
+		if each.item.Revision() <= revision {
+			kept = append(kept, ebonywood.NewItem(each.item.Key(), nil, each.item.Revision()))
+			continue
+		}
+		items = append(items, each.item)
+	}
+	return items, kept
+}
+
+// after are the changes after a number; the mutex is held.
 func (feed *feed) after(number uint64) []ebonywood.Item {
 	var items []ebonywood.Item
 	for _, each := range feed.items {
@@ -103,9 +135,6 @@
 			items = append(items, each.item)
 		}
 	}
-	if number == 0 {
-		return items
-	}
 	for _, each := range feed.deleted {
 		if _, again := feed.items[each.item.Key()]; !again && each.number > number {
 			items = append(items, each.item)
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -47,6 +47,10 @@
 				source = newFeed(fmt.Sprintf("after %d", step))
 				source.update(held, ebonywood.Millis(step))
 			}
+			if random.IntN(20) == 0 {
+				// The follower leaves for another mirror and comes back.
+				follower.cursor = ebonywood.Cursor{}.Holding(follower.newest())
+			}
 			if random.IntN(3) == 0 {
 				page := source.since(stopped(), follower.cursor, at(ebonywood.Millis(step)))
 				follower.merge(page)
@@ -57,6 +61,32 @@
 	}
 }
 
+// TestLeavingForAnotherMirrorMovesNoValues that are held already, and misses none that
+// are not.
+func TestLeavingForAnotherMirrorMovesNoValues(t *testing.T) {
+	held := map[string]ebonywood.Item{
+		"long": ebonywood.NewItem("long", make([]byte, 1<<20), 1), "gone": ebonywood.NewItem("gone", nil, 2),
+	}
+	first, second := newFeed("first"), newFeed("second")
+	first.update(held, 0)
+	follower := newMirror(nil)
+	follower.merge(first.since(stopped(), ebonywood.Cursor{}, at(0)))
+	delete(held, "gone")
+	held["new"] = ebonywood.NewItem("new", []byte("n"), 3)
+	second.update(held, 0)
+	page := second.since(stopped(), ebonywood.Cursor{}.Holding(follower.newest()), at(0))
+	require.Len(t, page.Items(), 1)
+	require.Len(t, page.Kept(), 1)
+	follower.merge(page)
+	require.Equal(t, held, follower.items)
+
+	delete(follower.items, "long")
+	follower.merge(second.since(stopped(), ebonywood.Cursor{}.Holding(follower.newest()), at(0)))
+	require.Equal(t, ebonywood.Cursor{}, follower.cursor, "the next page has to have all values")
+	follower.merge(second.since(stopped(), follower.cursor, at(0)))
+	require.Equal(t, held, follower.items)
+}
+
 // TestForgottenDeletionsMeanTheWhole for a follower that is far behind.
 func TestForgottenDeletionsMeanTheWhole(t *testing.T) {
 	source := newFeed("e")
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -71,7 +71,7 @@
 	edge := mirror.edge
 	if mirror.followed != peer.Address() {
 		edge.port.Log().Info("following", "peer", peer.Name(), "zone", peer.Zone())
-		mirror.followed, mirror.cursor = peer.Address(), ebonywood.Cursor{}
+		mirror.followed, mirror.cursor = peer.Address(), ebonywood.Cursor{}.Holding(mirror.newest())
 	}
 	limited, cancel := context.WithTimeout(ctx, followWait.Duration()+followSlack)
 	defer cancel()
@@ -108,7 +108,7 @@
 	mirror.cursor = page.Cursor()
 	clear(mirror.lapsed)
 	if page.IsWhole() {
-		mirror.items = make(map[string]ebonywood.Item, len(page.Items()))
+		mirror.keep(page)
 	}
 	for _, item := range page.Items() {
 		if item.IsDeleted() {
@@ -119,6 +119,30 @@
 	}
 }
 
+// keep drops what a whole page does not name. If something is missing here that it
+// expects to be held, the next page has to have all values.
+func (mirror *mirror) keep(page ebonywood.MirrorPage) {
+	items := make(map[string]ebonywood.Item, len(page.Items())+len(page.Kept()))
+	for _, each := range page.Kept() {
+		held, found := mirror.items[each.Key()]
+		if !found || held.Revision() != each.Revision() {
+			mirror.cursor = ebonywood.Cursor{}
+			continue
+		}
+		items[each.Key()] = held
+	}
+	mirror.items = items
+}
+
+// newest is the greatest revision that is held.
+func (mirror *mirror) newest() int64 {
+	revision := int64(0)
+	for _, item := range mirror.items {
+		revision = max(revision, item.Revision())
+	}
+	return revision
+}
+
 // askSeeds takes what other proxies know when this one has begun while the
 // directory does not answer it.
 func (mirror *mirror) askSeeds(ctx context.Context) {
--- a/internal/edge/relay/channel.go
+++ b/internal/edge/relay/channel.go
@@ -12,8 +12,13 @@
 	"github.com/ebonywood/ebonywood/internal/socket"
 )
 
-// idleLimit bounds the idle channels to one proxy.
-const idleLimit = 32
+const (
+	// idleLimit bounds the idle channels to one proxy. Every proxy of a large fleet
+	// keeps some to each that serves for it.
+	idleLimit = 4
+	// idleSpan is how long a channel may lie idle.
+	idleSpan = 10 * time.Second
+)
 
 // channel is one stream to another proxy. A connection carries one stream.
 type channel struct {
@@ -22,6 +27,8 @@
 	socket  net.Conn
 	conn    *drpcconn.Conn
 	stream  drpc.Stream
+	// used is when the channel was last given back.
+	used time.Time
 }
 
 var _ ebonywood.Channel = (*channel)(nil)
@@ -115,5 +122,22 @@
 		_ = channel.conn.Close()
 		return
 	}
+	channel.used = time.Now()
 	edge.idle[channel.address] = append(edge.idle[channel.address], channel)
 }
+
+// closeUnused closes the channels that lie idle for long.
+func (edge *Edge) closeUnused() {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for address, channels := range edge.idle {
+		for len(channels) > 0 && time.Since(channels[0].used) > idleSpan {
+			_ = channels[0].conn.Close()
+			channels = channels[1:]
+		}
+		edge.idle[address] = channels
+		if len(channels) == 0 {
+			delete(edge.idle, address)
+		}
+	}
+}
--- a/internal/edge/relay/follow.go
+++ b/internal/edge/relay/follow.go
@@ -20,12 +20,12 @@
 func (edge *Edge) Follow(
 	ctx context.Context, address string, cursor ebonywood.Cursor, wait ebonywood.Millis,
 ) (ebonywood.MirrorPage, error) {
-	message := &followMessage{Version: protocolVersion, Epoch: cursor.Epoch(), Sequence: cursor.Sequence(), Wait: int64(wait)}
+	message := &followMessage{Version: protocolVersion, Epoch: cursor.Epoch(), Sequence: cursor.Sequence(), Wait: int64(wait), Revision: cursor.Revision()}
 	var page pageMessage
 	if err := edge.link(address).Invoke(ctx, rpcFollow, message, &page); err != nil {
 		return ebonywood.MirrorPage{}, err
 	}
-	return page.decode(), nil
+	return page.decode()
 }
 
 // link finds the connections to the proxy at an address.
@@ -74,6 +74,6 @@
 	wait := min(max(message.Wait, 0), longestWait)
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	page := edge.port.Mirror().Since(ctx, ebonywood.NewCursor(message.Epoch, message.Sequence))
-	return stream.MsgSend(encodePage(page), wire)
+	page := edge.port.Mirror().Since(ctx, ebonywood.NewCursor(message.Epoch, message.Sequence).Holding(message.Revision))
+	return stream.MsgSend(edge.packer.encodePage(page), wire)
 }
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -112,6 +112,7 @@
 	Epoch    string `cbor:"2,keyasint"`
 	Sequence uint64 `cbor:"3,keyasint"`
 	Wait     int64  `cbor:"4,keyasint"`
+	Revision int64  `cbor:"5,keyasint,omitempty"`
 }
 
 // pageMessage tells of changes; the age is in milliseconds.
@@ -121,36 +122,58 @@
 	Whole    bool          `cbor:"3,keyasint"`
 	Age      int64         `cbor:"4,keyasint"`
 	Items    []itemMessage `cbor:"5,keyasint"`
+	Kept     []itemMessage `cbor:"6,keyasint,omitempty"`
 }
 
+// itemMessage is an item. A long value comes packed.
 type itemMessage struct {
 	Key      string `cbor:"1,keyasint"`
 	Value    []byte `cbor:"2,keyasint,omitempty"`
 	Revision int64  `cbor:"3,keyasint"`
 	Deleted  bool   `cbor:"4,keyasint,omitempty"`
+	Packed   []byte `cbor:"5,keyasint,omitempty"`
 }
 
-func encodePage(page ebonywood.MirrorPage) *pageMessage {
+func (packer *packer) encodePage(page ebonywood.MirrorPage) *pageMessage {
 	message := &pageMessage{
 		Epoch: page.Cursor().Epoch(), Sequence: page.Cursor().Sequence(), Whole: page.IsWhole(), Age: int64(page.Age()),
 	}
 	for _, item := range page.Items() {
-		message.Items = append(message.Items, itemMessage{
-			Key: item.Key(), Value: item.Value(), Revision: item.Revision(), Deleted: item.IsDeleted(),
-		})
+		each := itemMessage{Key: item.Key(), Revision: item.Revision(), Deleted: item.IsDeleted()}
+		if len(item.Value()) >= packedSize {
+			each.Packed = packer.pack(item)
+		} else {
+			each.Value = item.Value()
+		}
+		message.Items = append(message.Items, each)
+	}
+	for _, item := range page.Kept() {
+		message.Kept = append(message.Kept, itemMessage{Key: item.Key(), Revision: item.Revision()})
 	}
 	return message
 }
 
-func (message *pageMessage) decode() ebonywood.MirrorPage {
+func (message *pageMessage) decode() (ebonywood.MirrorPage, error) {
 	items := make([]ebonywood.Item, 0, len(message.Items))
 	for _, each := range message.Items {
 		if each.Deleted {
 			items = append(items, ebonywood.NewDeletedItem(each.Key, each.Revision))
 			continue
 		}
-		items = append(items, ebonywood.NewItem(each.Key, each.Value, each.Revision))
+		value := each.Value
+		if len(each.Packed) > 0 {
+			unpacked, err := unpack(each.Packed)
+			if err != nil {
+				return ebonywood.MirrorPage{}, err
+			}
+			value = unpacked
+		}
+		items = append(items, ebonywood.NewItem(each.Key, value, each.Revision))
+	}
+	kept := make([]ebonywood.Item, 0, len(message.Kept))
+	for _, each := range message.Kept {
+		kept = append(kept, ebonywood.NewItem(each.Key, nil, each.Revision))
 	}
 	cursor := ebonywood.NewCursor(message.Epoch, message.Sequence)
-	return ebonywood.NewMirrorPage(cursor, message.Whole, items, ebonywood.Millis(message.Age))
+	return ebonywood.NewMirrorPage(cursor, message.Whole, items, ebonywood.Millis(message.Age)).Keeping(kept), nil
 }
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -42,6 +42,7 @@
 	port     ebonywood.Port
 	listener net.Listener
 	group    *rungroup.Group
+	packer   packer
 
 	mutex sync.Mutex
 	// links are the connections for calls, by address.
@@ -80,6 +81,7 @@
 	edge.group.Go(func(context.Context) error {
 		return drpcserver.New(handler{edge}).Serve(serving, edge.listener)
 	})
+	edge.group.Go(edge.sweep)
 	select {
 	case <-ctx.Done():
 		edge.drain()
@@ -91,6 +93,20 @@
 	return edge.group.Wait()
 }
 
+// sweep closes unused channels from time to time.
+func (edge *Edge) sweep(ctx context.Context) error {
+	ticker := time.NewTicker(idleSpan / 2)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			edge.closeUnused()
+		}
+	}
+}
+
 func (edge *Edge) drain() {
 	began := time.Now()
 	limit := edge.port.Settings().DrainLimit().Duration()
--- a/mirror.go
+++ b/mirror.go
@@ -6,12 +6,23 @@
 type Cursor struct {
 	epoch    string
 	sequence uint64
+	revision int64
 }
 
 // NewCursor makes a cursor; epoch names one life of a mirror, within which the
 // sequence orders its changes.
 func NewCursor(epoch string, sequence uint64) Cursor { return Cursor{epoch: epoch, sequence: sequence} }
 
+// Holding returns the cursor of one who holds items up to a revision of the
+// directory, whichever mirror they came from.
+func (cursor Cursor) Holding(revision int64) Cursor {
+	cursor.revision = revision
+	return cursor
+}
+
+// Revision is up to which revision of the directory the other holds items.
+func (cursor Cursor) Revision() int64 { return cursor.revision }
+
 // Epoch names the life of the mirror.
 func (cursor Cursor) Epoch() string { return cursor.epoch }
 
@@ -23,6 +34,7 @@
 	cursor Cursor
 	whole  bool
 	items  []Item
+	kept   []Item
 	age    Millis
 }
 
@@ -32,6 +44,16 @@
 	return MirrorPage{cursor: cursor, whole: whole, items: items, age: age}
 }
 
+// Keeping returns a whole page that names further items, without their values, which
+// the other has to hold already.
+func (page MirrorPage) Keeping(kept []Item) MirrorPage {
+	page.kept = kept
+	return page
+}
+
+// Kept are the items of a whole page that come without their values.
+func (page MirrorPage) Kept() []Item { return page.kept }
+
 // Cursor is where to go on from.
 func (page MirrorPage) Cursor() Cursor { return page.cursor }
 
