Wait for a list whose answer arrives slowly

No further attempt is begun, and none is given up, once an answer begins to arrive; 6 s bound the whole.

--- a/directory.go
+++ b/directory.go
@@ -39,8 +39,8 @@
 // fault of KindUnavailable a change may have taken effect, or may do so later.
 type LeaseStore interface {
 	// List reads all items under a prefix; at is a revision from which Changes
-	// misses nothing.
-	List(ctx context.Context, prefix string) (items []Item, at int64, err error)
+	// misses nothing. arriving is called when the answer begins to arrive.
+	List(ctx context.Context, prefix string, arriving func()) (items []Item, at int64, err error)
 	// Changes waits for changes after a revision. A fault of KindStale says that
 	// the history is gone, and that the caller has to list anew.
 	Changes(ctx context.Context, prefix string, after int64, wait Millis) (changes []Item, at int64, err error)
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -15,9 +15,11 @@
 const (
 	// purgeWait is how long a watch waits while lapsed entries are kept.
 	purgeWait ebonywood.Millis = 400
-	// listLimit bounds the attempts to list, listPause is the time between the first
-	// two of them, which doubles.
+	// listLimit bounds the attempts to list until an answer begins to arrive, listWhole
+	// also after that: a large list takes a while over a slow link. listPause is the
+	// time between the first two attempts, which doubles.
 	listLimit    = 1600 * time.Millisecond
+	listWhole    = 6 * time.Second
 	listPause    = 300 * time.Millisecond
 	listAttempts = 4
 	// pacePerProxy, up to paceLimit, is the least time between two watches.
@@ -145,22 +147,29 @@
 	err   error
 }
 
-// list reads everything. A call that the directory received while
-// it was away may never be answered, so further attempts are begun beside it and
-// the first success counts.
+// list reads everything. A call that the directory received while it was away may
+// never be answered, so further attempts are begun beside it until an answer begins to
+// arrive, and the first success counts.
 func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, int64, error) {
-	limited, cancel := context.WithTimeout(ctx, listLimit)
+	limited, cancel := context.WithTimeout(ctx, listWhole)
 	defer cancel()
 	results := make(chan listing, listAttempts)
+	arriving := make(chan struct{}, listAttempts)
 	attempt := func(context.Context) error {
-		items, at, err := mirror.edge.port.Directory().List(limited, everything)
+		items, at, err := mirror.edge.port.Directory().List(limited, everything, func() {
+			select {
+			case arriving <- struct{}{}:
+			default:
+			}
+		})
 		results <- listing{items: items, at: at, err: err}
 		return nil
 	}
 	mirror.edge.group.Go(attempt)
 	begun, ended := 1, 0
-	next := time.NewTimer(listPause)
+	next, silence := time.NewTimer(listPause), time.NewTimer(listLimit)
 	defer next.Stop()
+	defer silence.Stop()
 	for {
 		select {
 		case <-next.C:
@@ -169,6 +178,11 @@
 				mirror.edge.group.Go(attempt)
 				next.Reset(listPause << (begun - 1))
 			}
+		case <-arriving:
+			next.Stop()
+			silence.Stop()
+		case <-silence.C:
+			cancel()
 		case result := <-results:
 			ended++
 			if result.err == nil || ended == begun {
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -17,10 +17,15 @@
 type fakeDirectory struct {
 	ebonywood.Directory
 	calls atomic.Int64
+	// arriving says that answers begin to arrive at once.
+	arriving bool
 	list  func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
 }
 
-func (fake *fakeDirectory) List(ctx context.Context, _ string) ([]ebonywood.Item, int64, error) {
+func (fake *fakeDirectory) List(ctx context.Context, _ string, arriving func()) ([]ebonywood.Item, int64, error) {
+	if fake.arriving {
+		arriving()
+	}
 	return fake.list(ctx, fake.calls.Add(1))
 }
 
@@ -107,3 +112,17 @@
 	mirror.take(ebonywood.NewDeletedItem("members/m0", 6))
 	require.Equal(t, int64(9), mirror.items["members/m0"].Revision())
 }
+
+// TestSlowListIsWaitedFor: its answer has begun to arrive, and further ones would take
+// their share of the link.
+func TestSlowListIsWaitedFor(t *testing.T) {
+	item := ebonywood.NewItem("members/m0", nil, 3)
+	fake := &fakeDirectory{arriving: true, list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+		time.Sleep(listLimit + 200*time.Millisecond)
+		return []ebonywood.Item{item}, 3, nil
+	}}
+	items, _, err := mirrorOf(t, fake).list(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []ebonywood.Item{item}, items)
+	require.Equal(t, int64(1), fake.calls.Load())
+}
