--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -19,7 +19,7 @@
 	calls atomic.Int64
 	// arriving says that answers begin to arrive at once.
 	arriving bool
-	list  func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
+	list     func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
 }
 
 func (fake *fakeDirectory) List(ctx context.Context, _ string, arriving func()) ([]ebonywood.Item, int64, error) {
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -81,7 +81,7 @@
 	edge.group.Go(func(context.Context) error {
 		return drpcserver.New(handler{edge}).Serve(serving, edge.listener)
 	})
-	edge.group.Go(edge.sweep)
+	edge.group.Every(idleSpan/2, func(context.Context) { edge.closeUnused() })
 	select {
 	case <-ctx.Done():
 		edge.drain()
@@ -93,20 +93,6 @@
 	return edge.group.Wait()
 }
 
-// sweep closes unused channels from time to time.
-func (edge *Edge) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(idleSpan / 2)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			edge.closeUnused()
-		}
-	}
-}
-
 func (edge *Edge) drain() {
 	began := time.Now()
 	limit := edge.port.Settings().DrainLimit().Duration()
--- a/internal/edge/sessions/pulse.go
+++ b/internal/edge/sessions/pulse.go
@@ -38,21 +38,8 @@
 	standingPause = 15 * time.Millisecond
 )
 
-// pulse keeps samples young, which is also how a primary that died is noticed
+// lookAfter keeps samples young, which is also how a primary that died is noticed
 // without traffic, and keeps pools at their share.
-func (edge *Edge) pulse(ctx context.Context) error {
-	ticker := time.NewTicker(pulsePeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			edge.lookAfter()
-		}
-	}
-}
-
 func (edge *Edge) lookAfter() {
 	snapshot := edge.port.Snapshot()
 	set := snapshot.Set()
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -102,8 +102,8 @@
 
 // Run works until ctx ends, then closes all connections.
 func (edge *Edge) Run(ctx context.Context) error {
-	edge.group.Go(edge.pulse)
-	edge.group.Go(edge.sweep)
+	edge.group.Every(pulsePeriod, func(context.Context) { edge.lookAfter() })
+	edge.group.Every(sweepPeriod, func(context.Context) { edge.endIdle() })
 	select {
 	case <-ctx.Done():
 	case <-edge.group.Context().Done():
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -1,7 +1,6 @@
 package sessions
 
 import (
-	"context"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -301,20 +300,7 @@
 	}
 }
 
-// sweep ends transactions that their callers have left idle.
-func (edge *Edge) sweep(ctx context.Context) error {
-	ticker := time.NewTicker(sweepPeriod)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			edge.endIdle()
-		}
-	}
-}
-
+// endIdle ends transactions that their callers have left idle.
 func (edge *Edge) endIdle() {
 	set := edge.port.Snapshot().Set()
 	if set == nil || set.TransactionIdle() == 0 {
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -16,7 +16,6 @@
 	"net/http"
 	"os"
 	"sync/atomic"
-	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/go-logr/logr"
@@ -137,7 +136,9 @@
 func (kernel *Kernel) Run(ctx context.Context) error {
 	control := rungroup.New(context.Background())
 	control.Go(kernel.loop)
-	control.Go(kernel.tick)
+	control.Every(kernel.settings.TickPeriod().Duration(), func(ctx context.Context) {
+		_ = kernel.Post(ctx, ebonywood.Tick{})
+	})
 	failed := make(chan error, len(kernel.edges))
 	groups := make([]*rungroup.Group, 0, len(kernel.edges))
 	for _, edge := range kernel.edges {
@@ -166,21 +167,6 @@
 	return errors.CombineErrors(err, control.Wait())
 }
 
-func (kernel *Kernel) tick(ctx context.Context) error {
-	ticker := time.NewTicker(kernel.settings.TickPeriod().Duration())
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			if err := kernel.Post(ctx, ebonywood.Tick{}); err != nil {
-				return nil
-			}
-		}
-	}
-}
-
 func (kernel *Kernel) loop(ctx context.Context) error {
 	for {
 		select {
--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -59,6 +60,22 @@
 	})
 }
 
+// Every runs work once in each period until the group stops.
+func (group *Group) Every(period time.Duration, work func(ctx context.Context)) {
+	group.Go(func(ctx context.Context) error {
+		ticker := time.NewTicker(period)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-ticker.C:
+				work(ctx)
+			}
+		}
+	})
+}
+
 // Stop asks all goroutines to stop.
 func (group *Group) Stop() {
 	group.init(context.Background())
--- a/test/e2e/thin_test.go
+++ b/test/e2e/thin_test.go
@@ -18,31 +18,14 @@
 	"github.com/jackc/pgx/v5"
 	"github.com/stretchr/testify/require"
 
-	// The test cache has to know what the binary is built from.
-	_ "github.com/ebonywood/ebonywood/internal/command"
+	"github.com/ebonywood/ebonywood/test/binary"
 )
 
 // loopback is where everything listens. Outgoing connections come from
 // 127.0.0.1, so they can't take a port here between its choice and its use.
 const loopback = "127.0.0.2"
 
-var binary string
-
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "ebonywood")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "ebonywood")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/ebonywood")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { os.Exit(binary.Run(m)) }
 
 // given holds the addresses that freeAddress has given away.
 var given sync.Map
@@ -63,7 +46,7 @@
 
 // start runs the binary until the test ends.
 func start(t *testing.T, arguments ...string) *exec.Cmd {
-	command := exec.Command(binary, arguments...)
+	command := exec.Command(binary.Path, arguments...)
 	command.Stderr = logTo(t)
 	command.Env = append(os.Environ(), "EBONYWOOD_STRICT=1")
 	require.NoError(t, command.Start())
@@ -138,7 +121,7 @@
 	text := fmt.Sprintf(objects, site.members[0], site.members[1], site.members[2])
 	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
 	eventually(t, func() error {
-		output, err := exec.Command(binary, "publish", "--platform", "http://"+site.platform, file).CombinedOutput()
+		output, err := exec.Command(binary.Path, "publish", "--platform", "http://"+site.platform, file).CombinedOutput()
 		if err != nil {
 			return fmt.Errorf("%w: %s", err, output)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sort"
 	"strings"
@@ -22,8 +21,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	// The test cache has to know what the binary is built from.
-	_ "github.com/ebonywood/ebonywood/internal/command"
+	"github.com/ebonywood/ebonywood/test/binary"
 )
 
 var (
@@ -41,23 +39,9 @@
 	211: "the check took a write that took effect late, after its caller was told TIMEOUT, for a stale read",
 }
 
-var binary string
-
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "ebonywood")
-	if err != nil {
-		panic(err)
-	}
-	binary = filepath.Join(dir, "ebonywood")
-	build := exec.Command("go", "build", "-o", binary, "../../cmd/ebonywood")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
-		panic(err)
-	}
-	code := m.Run()
-	_ = os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(binary.Run(m))
 }
 
 // connections draws how many connections a member accepts: enough for every proxy,
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -19,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/ebonywood/ebonywood/platform/standin"
+	"github.com/ebonywood/ebonywood/test/binary"
 )
 
 // hosts counts the loopback addresses given away.
@@ -172,7 +173,7 @@
 func (node *node) start() {
 	node.mutex.Lock()
 	defer node.mutex.Unlock()
-	command := exec.Command(binary, "node")
+	command := exec.Command(binary.Path, "node")
 	command.Env = append(os.Environ(), "EBONYWOOD_NODE_FILE="+node.settings, "EBONYWOOD_STRICT=1")
 	node.output = &bytes.Buffer{}
 	command.Stdout, command.Stderr = node.output, node.output
