Let the number of watchers grow with the square root of the fleet

At 300 proxies nine watchers had 33 followers each; a configuration of some 150 KB packed takes 4 s to all of them over a link of 10 Mbit/s, 5 s allowed. 18 watch there now; at 74 and 82 proxies the number stays 9 and 10.

--- a/internal/decision/placement/placement.go
+++ b/internal/decision/placement/placement.go
@@ -101,7 +101,7 @@
 		}
 		byZone[peer.Zone()][name] = true
 	}
-	depth := perZone(placement.wanted, len(byZone))
+	depth := perZone(placement.watchers(), len(byZone))
 	if depth != placement.depth {
 		placement.depth, placement.zones = depth, map[string]*rendezvous.Table{}
 	}
@@ -117,6 +117,17 @@
 	}
 }
 
+// watchers is how many proxies watch the directory. It grows with the square root of
+// the fleet: so do the followers of each, whose number bounds how long a change takes
+// over the link of their watcher.
+func (placement *Placement) watchers() int {
+	count := placement.wanted
+	for count*count < len(placement.peers) {
+		count++
+	}
+	return count
+}
+
 // perZone shares so many servers among the zones.
 func perZone(servers, zones int) int { return (servers + zones - 1) / max(1, zones) }
 
@@ -146,7 +157,7 @@
 			byInstance[instance.ID()] = placement.servers(instance)
 		}
 	}
-	watchers := placement.first(watchersKey, placement.wanted)
+	watchers := placement.first(watchersKey, placement.watchers())
 	same := slices.Equal(watchers, placement.owners.Watchers()) &&
 		maps.EqualFunc(byInstance, placement.owners.All(), func(left, right []ebonywood.PeerView) bool {
 			return slices.Equal(left, right)
--- a/internal/decision/placement/placement_test.go
+++ b/internal/decision/placement/placement_test.go
@@ -105,3 +105,15 @@
 	require.False(t, placement.owners.Has("db0", "p000"))
 	require.Len(t, placement.owners.Of("db0"), 6)
 }
+
+// TestWatchersGrowSlowly: neither the calls at the directory nor the followers of one
+// watcher grow as the fleet does. A change of 150 KB has to reach all followers of a
+// watcher over a link of 10 Mbit/s within its 5 s.
+func TestWatchersGrowSlowly(t *testing.T) {
+	const zones, followersLimit = 3, 40
+	for _, size := range []struct{ proxies, watchers int }{{7, 7}, {74, 9}, {300, 18}, {1000, 33}} {
+		placement := place(0, size.proxies, zones, 3, 46)
+		require.Len(t, placement.owners.Watchers(), size.watchers, "%d proxies", size.proxies)
+		require.LessOrEqual(t, size.proxies/size.watchers, followersLimit)
+	}
+}
