Give up connections to a proxy that went silent while new ones work

Work on a silent channel waited to its end, since the proxy answered when it was asked. When nothing was heard over the standing channels since the work was sent, and a fresh connection is answered, reads are begun anew and idle channels are closed.

--- a/internal/edge/relay/channel.go
+++ b/internal/edge/relay/channel.go
@@ -69,6 +69,16 @@
 	return nil
 }
 
+// Forget closes the channels to a proxy that lie idle.
+func (edge *Edge) Forget(peer ebonywood.PeerView) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for _, each := range edge.idle[peer.Address()] {
+		_ = each.conn.Close()
+	}
+	delete(edge.idle, peer.Address())
+}
+
 func (edge *Edge) closeIdle() {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -77,6 +77,8 @@
 	broken int
 	// dead says that no proxy answers whether it lives.
 	dead atomic.Bool
+	// forgotten is the proxy whose idle channels were closed last.
+	forgotten atomic.Value
 }
 
 type channel struct {
@@ -144,6 +146,8 @@
 	return nil
 }
 
+func (relay *relay) Forget(peer ebonywood.PeerView) { relay.forgotten.Store(peer.Name()) }
+
 func (channel *channel) Interrupt() { channel.interrupted <- struct{}{} }
 
 func (channel *channel) Release(broken bool) {
@@ -266,10 +270,19 @@
 
 // TestReadLeavesASilentProxy long before its own deadline: the proxy leaves work
 // without an answer, and does not answer a fresh question either.
-func TestReadLeavesASilentProxy(t *testing.T) {
+func TestReadLeavesASilentProxy(t *testing.T) { leaveSilence(t, true) }
+
+// TestReadLeavesASilentConnection: the proxy answers a fresh question, so it is the
+// connections that went silent. Those that lie idle are not used again.
+func TestReadLeavesASilentConnection(t *testing.T) {
+	port := leaveSilence(t, false)
+	require.Equal(t, "near", port.relay.forgotten.Load())
+}
+
+func leaveSilence(t *testing.T, dead bool) *port {
 	port := newPort()
 	port.relay.fates["near"] = []fate{hanging}
-	port.relay.dead.Store(true)
+	port.relay.dead.Store(dead)
 	edge := New(port)
 	stop := make(chan struct{})
 	defer close(stop)
@@ -286,6 +299,7 @@
 	session, _ := edge.Open("shop")
 	require.Equal(t, ebonywood.CodeDone, session.Handle(read).Code())
 	require.Equal(t, []string{"near", "far"}, port.relay.peers)
+	return port
 }
 
 // TestWriteWaitsForASilentProxy to its end, since it may have been run.
--- a/internal/edge/sessions/peer.go
+++ b/internal/edge/sessions/peer.go
@@ -10,12 +10,13 @@
 
 // What this process knows of the proxies that it sends work to. One that leaves
 // work without an answer is asked over a fresh connection whether it lives; until
-// it answers it gets no work, and reads that wait for it are begun elsewhere.
+// it answers it gets no work, and reads that wait for it are begun elsewhere. If it
+// does answer, it is the connections that went silent.
 
 const (
 	// overdueSpan is how long work may lie at a proxy before it is asked whether it
 	// lives.
-	overdueSpan ebonywood.Millis = 200
+	overdueSpan ebonywood.Millis = 250
 	// reachLimit bounds such a question, reachPause is the time between two.
 	reachLimit = 200 * time.Millisecond
 	reachPause = 300 * time.Millisecond
@@ -132,6 +133,9 @@
 		cancel()
 		// An attempt during which this process stood still says nothing.
 		stalled := peer.edge.now()-asked > ebonywood.MillisOf(reachLimit)+stallSpan
+		if err == nil {
+			peer.distrust(asked)
+		}
 		if err == nil || !stalled {
 			peer.setSilent(err)
 		}
@@ -149,6 +153,28 @@
 	return nil
 }
 
+// distrust gives up the connections that stand if none of them has answered since work
+// was sent over one, although the proxy answered over a fresh one at asked: they went
+// silent, and new ones work.
+func (peer *peer) distrust(asked ebonywood.Millis) {
+	peer.mutex.Lock()
+	silent := false
+	for channel, each := range peer.working {
+		if asked-each.since < overdueSpan || peer.heard >= each.since {
+			continue
+		}
+		silent = true
+		if each.repeatable {
+			channel.Interrupt()
+		}
+	}
+	peer.mutex.Unlock()
+	if silent {
+		peer.edge.port.Relay().Forget(peer.view)
+		peer.edge.counters.line("peerChannelsSilent", "peer", peer.view.Name())
+	}
+}
+
 // isListed reports whether the proxy still serves or watches anything.
 func (edge *Edge) isListed(view ebonywood.PeerView) bool {
 	return edge.port.Snapshot().Owners().Includes(view)
--- a/relay.go
+++ b/relay.go
@@ -128,6 +128,8 @@
 type Relay interface {
 	// Open takes a channel to a proxy. An error proves that nothing was sent.
 	Open(peer PeerView, limit time.Duration) (Channel, error)
+	// Forget closes the channels to a proxy that lie idle.
+	Forget(peer PeerView)
 	// Reach asks the proxy at an address over a fresh connection whether it lives.
 	Reach(ctx context.Context, address string) error
 	// Follow asks the proxy at an address for what has changed in its mirror of the
