--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -188,6 +188,13 @@
 	_ = edge.port.Post(edge.group.Context(), ebonywood.NewDirectoryChanged(!failed))
 }
 
+// isAway reports whether the directory does not answer this process.
+func (edge *Edge) isAway() bool {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	return edge.away
+}
+
 // returnedFor is how long the directory has answered again.
 func (edge *Edge) returnedFor() time.Duration {
 	edge.mutex.Lock()
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -144,6 +144,7 @@
 
 func (fakeSettings) Limits() ebonywood.Limits { return ebonywood.Limits{} }
 func (fakeSettings) Zone() string             { return "a" }
+func (fakeSettings) Name() string             { return "self" }
 func (fakeSettings) Seeds() []string          { return []string{"s1", "s2"} }
 
 // follow makes the mirror of a process that two others watch for.
@@ -235,6 +236,25 @@
 	require.Equal(t, "far", peer.Name())
 }
 
+// TestRefusedWatcherFollowsAnother while the directory does not answer it.
+func TestRefusedWatcherFollowsAnother(t *testing.T) {
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{ebonywood.NewItem("k", nil, 1)}, 10), nil
+	}}
+	mirror := follow(t, relay, ebonywood.NewPeerView("self", "a", "self"), far)
+	_, found := mirror.upstream()
+	require.False(t, found)
+	mirror.edge.settled(time.Now(), ebonywood.NewFault(ebonywood.KindUnavailable, "refused", ""))
+	peer, found := mirror.upstream()
+	require.True(t, found)
+	require.Equal(t, "far", peer.Name())
+	mirror.followPeer(t.Context(), peer)
+	require.Contains(t, mirror.items, "k")
+	mirror.edge.settled(time.Now(), nil)
+	_, found = mirror.upstream()
+	require.False(t, found)
+}
+
 // TestSeedsHelpAProcessThatBegins while the directory refuses it, of whatever age
 // their knowledge is.
 func TestSeedsHelpAProcessThatBegins(t *testing.T) {
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -30,11 +30,12 @@
 )
 
 // upstream chooses a watcher to follow: one of this availability zone if there is
-// one. It finds none for a process that watches by itself.
+// one. It finds none for a process that watches by itself. A watcher that the directory
+// does not answer follows another one, which the directory may still answer.
 func (mirror *mirror) upstream() (peer ebonywood.PeerView, found bool) {
 	edge := mirror.edge
 	owners := edge.port.Snapshot().Owners()
-	if edge.port.Relay() == nil || owners.IsWatcher() {
+	if edge.port.Relay() == nil || owners.IsWatcher() && !edge.isAway() {
 		return peer, false
 	}
 	now := edge.port.Clock().Now()
@@ -45,6 +46,7 @@
 	var near, far []ebonywood.PeerView
 	for _, watcher := range owners.Watchers() {
 		switch {
+		case watcher.Name() == edge.port.Settings().Name():
 		case mirror.unfollowed[watcher.Address()] > now:
 		case watcher.Zone() == zone:
 			near = append(near, watcher)
