--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -143,7 +143,7 @@
 	edge   *Edge
 	stream drpc.Stream
 	// session has an open transaction; nil between two pieces of work.
-	session ebonywood.GuestSession
+	session ebonywood.ForwardedSession
 }
 
 // serve runs work until the stream ends.
@@ -180,7 +180,7 @@
 		if why := served.edge.refusal(work); why != "" {
 			return ebonywood.NewWorkRefused(why)
 		}
-		served.session = served.edge.port.Sessions().Host(work)
+		served.session = served.edge.port.Sessions().OpenForwarded(work)
 	}
 	return served.session.Run(work)
 }
--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -78,7 +78,7 @@
 func (edge *Edge) account(statement ebonywood.Statement, each *attempt, reply ebonywood.Reply) {
 	took := time.Since(each.began)
 	done := reply.Code() == ebonywood.CodeDone
-	if !each.guest {
+	if !each.forwarded {
 		edge.counters.record(each.route.Name(), reply.Code().String(), took)
 		edge.port.Levels().Record(each.route.Name(), each.route.Objective(), done, took, edge.now())
 	}
@@ -95,7 +95,7 @@
 		term = view.Term()
 	}
 	edge.counters.line("request", "id", statement.ID(), "route", each.route.Name(), "instance", instance,
-		"outcome", reply.Code().String(), "why", reply.Message(), "member", each.member, "peer", each.peer, "guest", each.guest, "tries", each.tries,
+		"outcome", reply.Code().String(), "why", reply.Message(), "member", each.member, "peer", each.peer, "forwarded", each.forwarded, "tries", each.tries,
 		"floor", each.floor.String(), "sampleAgeMs", int64(edge.sampleAge(instance)), "generation", generation,
 		"term", uint64(term), "tookMs", took.Milliseconds())
 }
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -9,7 +9,7 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-// Where another proxy serves the instance, a session's work goes there. The
+// The entry's side of forwarding. Where another proxy serves the instance, a session's work goes there. The
 // session itself stays here as data and travels with the work, so that the loss of
 // the other proxy costs no more than what was under way there.
 
@@ -31,7 +31,7 @@
 func (session *session) servers(id ebonywood.InstanceID) []ebonywood.PeerView {
 	edge := session.edge
 	snapshot := edge.port.Snapshot()
-	if session.guest || edge.port.Relay() == nil || snapshot.IsServed(id) {
+	if session.forwarded || edge.port.Relay() == nil || snapshot.IsServed(id) {
 		return nil
 	}
 	return edge.rank(snapshot.Owners().Of(id))
@@ -248,63 +248,3 @@
 		session.tx.channel = nil
 	}
 }
-
-// Host begins to run the work of another proxy's session.
-func (edge *Edge) Host(work ebonywood.Work) ebonywood.GuestSession {
-	return &guest{session: &session{edge: edge, database: work.State().Database(), guest: true}}
-}
-
-// guest is the part of another proxy's session that runs here.
-type guest struct {
-	session *session
-}
-
-// Run runs one piece of work.
-func (guest *guest) Run(work ebonywood.Work) ebonywood.WorkDone {
-	session := guest.session
-	reply, begun := guest.begin(work)
-	if begun {
-		session.adopt(work)
-		reply = session.Handle(work.Statement())
-	}
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	return ebonywood.NewWorkDone(reply, session.floor, session.edge.now()-session.wroteAt)
-}
-
-// begin opens the transaction that the work begins, and reports whether the
-// statement may be run.
-func (guest *guest) begin(work ebonywood.Work) (ebonywood.Reply, bool) {
-	if work.Begin() == ebonywood.VerbOther {
-		return ebonywood.Reply{}, true
-	}
-	session := guest.session
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	reply := session.begin(ebonywood.NewOwnStatement(work.Begin(), "", ""))
-	if reply.Code() != ebonywood.CodeDone {
-		return failure(ebonywood.CodeAborted, reply.Message()), false
-	}
-	session.tx.began -= work.BeganAge()
-	return reply, true
-}
-
-// adopt takes the state that came with the work.
-func (session *session) adopt(work ebonywood.Work) {
-	session.mutex.Lock()
-	defer session.mutex.Unlock()
-	state := work.State()
-	session.settings = state.Settings()
-	session.floor = state.Floor()
-	session.wroteAt = session.edge.now() - state.WroteAge()
-	session.statements = nil
-	if work.Definition() != "" {
-		session.statements = map[string]*preparation{work.Statement().Name(): newPreparation(work.Definition())}
-	}
-}
-
-// IsIdle reports whether no transaction is open.
-func (guest *guest) IsIdle() bool { return guest.session.IsIdle() }
-
-// Abandon rolls back what is open.
-func (guest *guest) Abandon() { guest.session.Abandon() }
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -37,8 +37,8 @@
 	floor   ebonywood.Position
 	wroteAt ebonywood.Millis
 	tx      *transaction
-	// guest says that the session's caller is at another proxy.
-	guest bool
+	// forwarded says that the session's caller is at another proxy.
+	forwarded bool
 }
 
 // preparation is a prepared statement. Its name on connections is the same for
@@ -60,10 +60,10 @@
 	tries  int
 	writes bool
 	shared *preparation
-	// peer is the proxy that the statement was sent to, guest says that it came from
+	// peer is the proxy that the statement was sent to, forwarded says that it came from
 	// one.
 	peer  string
-	guest bool
+	forwarded bool
 	// waitShare is the share of the route's promised time that the statement may wait
 	// for a connection.
 	waitShare float64
@@ -186,7 +186,7 @@
 		timeout = session.edge.limits.Span(ebonywood.LimitDefaultTimeout)
 	}
 	began := time.Now()
-	return &attempt{waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare), route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), guest: session.guest}
+	return &attempt{waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare), route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), forwarded: session.forwarded}
 }
 
 // resolve finds the prepared statement that an execution names, and rewrites the
--- a/statement.go
+++ b/statement.go
@@ -253,9 +253,9 @@
 	Abandon()
 }
 
-// GuestSession is the part of another proxy's session that runs here: one statement,
+// ForwardedSession is the part of another proxy's session that runs here: one statement,
 // or one transaction. It belongs to one goroutine.
-type GuestSession interface {
+type ForwardedSession interface {
 	// Run runs one piece of work to its end.
 	Run(work Work) WorkDone
 	// IsIdle reports whether no transaction is open.
@@ -266,8 +266,8 @@
 
 // Sessions opens sessions.
 type Sessions interface {
-	// Host begins to run the work of another proxy's session here.
-	Host(work Work) GuestSession
+	// OpenForwarded begins to run the work of another proxy's session here.
+	OpenForwarded(work Work) ForwardedSession
 
 	// Open begins a session with a database. The reply's code is CodeDone,
 	// CodeNoDatabase, or CodeBusy when no configuration is known yet.
