--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -62,7 +62,7 @@
 	shared *preparation
 	// peer is the proxy that the statement was sent to, forwarded says that it came from
 	// one.
-	peer  string
+	peer      string
 	forwarded bool
 	// waitShare is the share of the route's promised time that the statement may wait
 	// for a connection.
