--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -9,9 +9,9 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-// The entry's side of forwarding. Where another proxy serves the instance, a session's work goes there. The
-// session itself stays here as data and travels with the work, so that the loss of
-// the other proxy costs no more than what was under way there.
+// The entry's side of forwarding. Where another proxy serves the instance, a session's
+// work goes there. The session itself stays here as data and travels with the work, so
+// that the loss of the other proxy costs no more than what was under way there.
 
 const (
 	// channelLimit bounds the opening of a channel to another proxy.
