Go on from the followed mirror instead of listing anew

A page tells up to which revision of the directory it misses nothing; watching goes on from there, and only a history that is gone asks for a list.

--- a/internal/edge/directory/feed.go
+++ b/internal/edge/directory/feed.go
@@ -31,8 +31,10 @@
 	// forgotten.
 	deleted []numbered
 	oldest  uint64
-	// fresh is when the directory last answered, as far as this mirror knows.
+	// fresh is when the directory last answered, as far as this mirror knows, and at the
+	// revision up to which it misses nothing.
 	fresh   ebonywood.Millis
+	at      int64
 	changed chan struct{}
 }
 
@@ -46,10 +48,11 @@
 	return &feed{epoch: epoch, items: map[string]numbered{}, changed: make(chan struct{})}
 }
 
-// update makes items what the feed holds, as of a time.
-func (feed *feed) update(items map[string]ebonywood.Item, fresh ebonywood.Millis) {
+// update makes items what the feed holds, as of a time and a revision.
+func (feed *feed) update(items map[string]ebonywood.Item, fresh ebonywood.Millis, at int64) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
+	feed.at = at
 	feed.fresh = max(feed.fresh, fresh)
 	before := feed.sequence
 	for key, item := range items {
@@ -98,9 +101,9 @@
 	age := now() - feed.fresh
 	if cursor.Epoch() != feed.epoch || cursor.Sequence() < feed.oldest || cursor.Sequence() > feed.sequence {
 		items, kept := feed.all(cursor.Revision())
-		return ebonywood.NewMirrorPage(next, true, items, age).Keeping(kept)
+		return ebonywood.NewMirrorPage(next, true, items, age).Keeping(kept).AsOf(feed.at)
 	}
-	return ebonywood.NewMirrorPage(next, false, feed.after(cursor.Sequence()), age)
+	return ebonywood.NewMirrorPage(next, false, feed.after(cursor.Sequence()), age).AsOf(feed.at)
 }
 
 // gather waits a little for further changes.
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -42,10 +42,10 @@
 					held[key] = ebonywood.NewItem(key, nil, revision)
 				}
 			}
-			source.update(held, ebonywood.Millis(step))
+			source.update(held, ebonywood.Millis(step), 0)
 			if random.IntN(100) == 0 {
 				source = newFeed(fmt.Sprintf("after %d", step))
-				source.update(held, ebonywood.Millis(step))
+				source.update(held, ebonywood.Millis(step), 0)
 			}
 			if random.IntN(20) == 0 {
 				// The follower leaves for another mirror and comes back.
@@ -68,12 +68,12 @@
 		"long": ebonywood.NewItem("long", make([]byte, 1<<20), 1), "gone": ebonywood.NewItem("gone", nil, 2),
 	}
 	first, second := newFeed("first"), newFeed("second")
-	first.update(held, 0)
+	first.update(held, 0, 0)
 	follower := newMirror(nil)
 	follower.merge(first.since(stopped(), ebonywood.Cursor{}, at(0)))
 	delete(held, "gone")
 	held["new"] = ebonywood.NewItem("new", []byte("n"), 3)
-	second.update(held, 0)
+	second.update(held, 0, 0)
 	page := second.since(stopped(), ebonywood.Cursor{}.Holding(follower.newest()), at(0))
 	require.Len(t, page.Items(), 1)
 	require.Len(t, page.Kept(), 1)
@@ -90,11 +90,11 @@
 // TestForgottenDeletionsMeanTheWhole for a follower that is far behind.
 func TestForgottenDeletionsMeanTheWhole(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{"first": ebonywood.NewItem("first", nil, 1)}, 0)
+	source.update(map[string]ebonywood.Item{"first": ebonywood.NewItem("first", nil, 1)}, 0, 0)
 	behind := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
 	for i := range deletionsKept + 10 {
 		key := fmt.Sprintf("k%d", i)
-		source.update(map[string]ebonywood.Item{key: ebonywood.NewItem(key, nil, int64(i+2))}, 0)
+		source.update(map[string]ebonywood.Item{key: ebonywood.NewItem(key, nil, int64(i+2))}, 0, 0)
 	}
 	page := source.since(stopped(), behind, at(0))
 	require.True(t, page.IsWhole())
@@ -104,12 +104,12 @@
 // TestChangeEndsTheWait of a follower that is up to date.
 func TestChangeEndsTheWait(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{}, 0)
+	source.update(map[string]ebonywood.Item{}, 0, 0)
 	cursor := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
 	pages := make(chan ebonywood.MirrorPage, 1)
 	go func() { pages <- source.since(context.Background(), cursor, at(7)) }()
 	time.Sleep(20 * time.Millisecond)
-	source.update(map[string]ebonywood.Item{"k": ebonywood.NewItem("k", nil, 1)}, 5)
+	source.update(map[string]ebonywood.Item{"k": ebonywood.NewItem("k", nil, 1)}, 5, 0)
 	page := <-pages
 	require.Len(t, page.Items(), 1)
 	require.Equal(t, ebonywood.Millis(2), page.Age())
@@ -118,7 +118,7 @@
 // TestStaleMirrorAnswersAtOnce, so that its followers look elsewhere.
 func TestStaleMirrorAnswersAtOnce(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{}, 0)
+	source.update(map[string]ebonywood.Item{}, 0, 0)
 	cursor := source.since(stopped(), ebonywood.Cursor{}, at(0)).Cursor()
 	page := source.since(context.Background(), cursor, at(staleSpan+5))
 	require.Equal(t, staleSpan+5, page.Age())
@@ -255,6 +255,42 @@
 	require.False(t, found)
 }
 
+// TestFollowerGoesOnFromItsWatcher without a list: only what changed since comes from the
+// directory.
+func TestFollowerGoesOnFromItsWatcher(t *testing.T) {
+	first, second := ebonywood.NewItem("members/m0", nil, 3), ebonywood.NewItem("members/m1", nil, 8)
+	failing := false
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		if failing {
+			return ebonywood.MirrorPage{}, errors.New("connection refused")
+		}
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{first}, 10).AsOf(7), nil
+	}}
+	mirror := follow(t, relay, near)
+	mirror.followPeer(t.Context(), near)
+	failing = true
+	mirror.followPeer(t.Context(), near)
+	ctx, cancel := context.WithCancel(t.Context())
+	port := mirror.edge.port.(fakePort)
+	port.directory = &fakeDirectory{
+		list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+			t.Error("no list is needed")
+			return nil, 0, nil
+		},
+		changes: func(after int64) ([]ebonywood.Item, int64, error) {
+			if after == 8 {
+				cancel()
+				return nil, 8, nil
+			}
+			require.Equal(t, int64(7), after)
+			return []ebonywood.Item{second}, 8, nil
+		},
+	}
+	mirror.edge.port = port
+	mirror.watch(ctx)
+	require.Equal(t, map[string]ebonywood.Item{"members/m0": first, "members/m1": second}, mirror.items)
+}
+
 // TestSeedsHelpAProcessThatBegins while the directory refuses it, of whatever age
 // their knowledge is.
 func TestSeedsHelpAProcessThatBegins(t *testing.T) {
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -101,13 +101,13 @@
 // takePage takes in what a watcher or seed told.
 func (mirror *mirror) takePage(ctx context.Context, page ebonywood.MirrorPage) {
 	mirror.merge(page)
-	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age())
+	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.at)
 	mirror.tell(ctx, func(prefix string) bool { return page.IsWhole() || mirror.touches(page.Items(), prefix) })
 }
 
 // merge makes the items what the other mirror holds.
 func (mirror *mirror) merge(page ebonywood.MirrorPage) {
-	mirror.cursor = page.Cursor()
+	mirror.cursor, mirror.at = page.Cursor(), page.At()
 	clear(mirror.lapsed)
 	if page.IsWhole() {
 		mirror.keep(page)
@@ -128,7 +128,7 @@
 	for _, each := range page.Kept() {
 		held, found := mirror.items[each.Key()]
 		if !found || held.Revision() != each.Revision() {
-			mirror.cursor = ebonywood.Cursor{}
+			mirror.cursor, mirror.at = ebonywood.Cursor{}, 0
 			continue
 		}
 		items[each.Key()] = held
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -91,14 +91,11 @@
 }
 
 // watch follows the directory itself until its history is gone or another proxy can
-// be followed.
+// be followed. It goes on from where a followed mirror was; a list would take long over
+// a slow link.
 func (mirror *mirror) watch(ctx context.Context) {
 	mirror.followed = ""
-	if err := mirror.relist(ctx); err != nil {
-		// The directory may refuse this process only; another watcher may know more.
-		mirror.aloneUntil = 0
-		mirror.askSeeds(ctx)
-		mirror.pause(ctx)
+	if mirror.at == 0 && !mirror.begin(ctx) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -112,10 +109,24 @@
 		}
 		if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
 			mirror.edge.port.Log().Info("history gone", "at", mirror.at)
+			mirror.at = 0
 			return
 		}
+		// The directory may refuse this process only; another watcher may know more.
+		mirror.aloneUntil = 0
+		mirror.pause(ctx)
+	}
+}
+
+// begin lists everything, and reports whether it succeeded.
+func (mirror *mirror) begin(ctx context.Context) bool {
+	err := mirror.relist(ctx)
+	if err != nil {
+		mirror.aloneUntil = 0
+		mirror.askSeeds(ctx)
 		mirror.pause(ctx)
 	}
+	return err == nil
 }
 
 // pace waits a little before the next watch. Many proxies that write their reports
@@ -212,7 +223,7 @@
 		}
 	}
 	mirror.items, mirror.at, mirror.pauses = items, at, 0
-	mirror.edge.feed.update(items, mirror.edge.port.Clock().Now()-ebonywood.MillisOf(time.Since(began)))
+	mirror.edge.feed.update(items, mirror.edge.port.Clock().Now()-ebonywood.MillisOf(time.Since(began)), at)
 	mirror.tell(ctx, func(string) bool { return true })
 	return nil
 }
@@ -241,7 +252,7 @@
 		mirror.take(change)
 	}
 	purged := mirror.purge()
-	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now())
+	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now(), mirror.at)
 	mirror.tell(ctx, func(prefix string) bool {
 		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || mirror.touches(changes, prefix)
 	})
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -19,6 +19,7 @@
 	calls atomic.Int64
 	// arriving says that answers begin to arrive at once.
 	arriving bool
+	changes  func(after int64) ([]ebonywood.Item, int64, error)
 	list     func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
 }
 
@@ -29,6 +30,10 @@
 	return fake.list(ctx, fake.calls.Add(1))
 }
 
+func (fake *fakeDirectory) Changes(_ context.Context, _ string, after int64, _ ebonywood.Millis) ([]ebonywood.Item, int64, error) {
+	return fake.changes(after)
+}
+
 func (fake *fakeDirectory) MemberPrefix() string { return "members/" }
 
 func (fake *fakeDirectory) DecodeMember(item ebonywood.Item) (ebonywood.ListedMember, error) {
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -123,6 +123,7 @@
 	Age      int64         `cbor:"4,keyasint"`
 	Items    []itemMessage `cbor:"5,keyasint"`
 	Kept     []itemMessage `cbor:"6,keyasint,omitempty"`
+	At       int64         `cbor:"7,keyasint,omitempty"`
 }
 
 // itemMessage is an item. A long value comes packed.
@@ -137,6 +138,7 @@
 func (packer *packer) encodePage(page ebonywood.MirrorPage) *pageMessage {
 	message := &pageMessage{
 		Epoch: page.Cursor().Epoch(), Sequence: page.Cursor().Sequence(), Whole: page.IsWhole(), Age: int64(page.Age()),
+		At: page.At(),
 	}
 	for _, item := range page.Items() {
 		each := itemMessage{Key: item.Key(), Revision: item.Revision(), Deleted: item.IsDeleted()}
@@ -175,5 +177,5 @@
 		kept = append(kept, ebonywood.NewItem(each.Key, nil, each.Revision))
 	}
 	cursor := ebonywood.NewCursor(message.Epoch, message.Sequence)
-	return ebonywood.NewMirrorPage(cursor, message.Whole, items, ebonywood.Millis(message.Age)).Keeping(kept), nil
+	return ebonywood.NewMirrorPage(cursor, message.Whole, items, ebonywood.Millis(message.Age)).Keeping(kept).AsOf(message.At), nil
 }
--- a/internal/edge/relay/message_test.go
+++ b/internal/edge/relay/message_test.go
@@ -14,7 +14,7 @@
 	long := bytes.Repeat([]byte("route "), 100_000)
 	page := ebonywood.NewMirrorPage(ebonywood.NewCursor("e", 7), true, []ebonywood.Item{
 		ebonywood.NewItem("short", []byte("s"), 1), ebonywood.NewItem("long", long, 2), ebonywood.NewDeletedItem("gone", 3),
-	}, 9).Keeping([]ebonywood.Item{ebonywood.NewItem("kept", nil, 4)})
+	}, 9).Keeping([]ebonywood.Item{ebonywood.NewItem("kept", nil, 4)}).AsOf(11)
 	var packer packer
 	for range 2 {
 		text, err := wire.Marshal(packer.encodePage(page))
--- a/mirror.go
+++ b/mirror.go
@@ -35,6 +35,7 @@
 	whole  bool
 	items  []Item
 	kept   []Item
+	at     int64
 	age    Millis
 }
 
@@ -51,6 +52,16 @@
 	return page
 }
 
+// AsOf returns the page of a mirror that misses nothing up to a revision of the
+// directory.
+func (page MirrorPage) AsOf(revision int64) MirrorPage {
+	page.at = revision
+	return page
+}
+
+// At is a revision of the directory from which its changes go on.
+func (page MirrorPage) At() int64 { return page.at }
+
 // Kept are the items of a whole page that come without their values.
 func (page MirrorPage) Kept() []Item { return page.kept }
 
