Let no mirror that is behind take back what is known

The holder of the duty had its claim from the store's answer; when the store then refused it, it followed the other proxy, whose mirror had not heard of the claim, and believed that it did not hold the duty. Pages of a mirror that is behind are not taken, and the duty's key is compared as of the mirror's revision, so that the own mirror can't take a claim back either. TestClaimIsNotTakenBack fails without each of the two.

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -204,7 +204,7 @@
 
 // configure passes a configuration on. One that can't be decoded leaves the last
 // one in force.
-func (edge *Edge) configure(ctx context.Context, items map[string]ebonywood.Item) {
+func (edge *Edge) configure(ctx context.Context, items map[string]ebonywood.Item, _ int64) {
 	item, found := items[edge.port.Directory().ConfigurationKey()]
 	if !found {
 		return
@@ -218,7 +218,7 @@
 }
 
 // list passes the members on. An entry that can't be decoded names no member.
-func (edge *Edge) list(ctx context.Context, items map[string]ebonywood.Item) {
+func (edge *Edge) list(ctx context.Context, items map[string]ebonywood.Item, _ int64) {
 	listed := make([]ebonywood.ListedMember, 0, len(items))
 	for key, item := range items {
 		entry, err := edge.port.Directory().DecodeMember(item)
@@ -232,7 +232,7 @@
 }
 
 // takeOwn passes on who lives and who holds the duty.
-func (edge *Edge) takeOwn(ctx context.Context, items map[string]ebonywood.Item) {
+func (edge *Edge) takeOwn(ctx context.Context, items map[string]ebonywood.Item, at int64) {
 	var reports []ebonywood.NodeReport
 	for key, item := range items {
 		var value nodeValue
@@ -250,17 +250,18 @@
 		return strings.Compare(left.Name(), right.Name())
 	})
 	_ = edge.port.Post(ctx, ebonywood.NewNodesListed(reports))
-	edge.takeDuty(ctx, items[dutyKey])
+	edge.takeDuty(ctx, items[dutyKey], at)
 	edge.checkOwnKey(items)
 }
 
-// takeDuty compares the duty's key with this process's claim. A mirror that is behind
-// the answer to a claim tells of an earlier key.
-func (edge *Edge) takeDuty(ctx context.Context, item ebonywood.Item) {
+// takeDuty compares the duty's key, as of a revision of the directory, with this
+// process's claim. A mirror that is behind the answer to a claim tells of what was
+// before it.
+func (edge *Edge) takeDuty(ctx context.Context, item ebonywood.Item, at int64) {
 	edge.mutex.Lock()
-	earlier := item.Revision() > 0 && item.Revision() < edge.duty.Revision()
+	behind := at < edge.duty.Revision()
 	edge.mutex.Unlock()
-	if earlier {
+	if behind {
 		return
 	}
 	var value dutyValue
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -236,6 +236,27 @@
 	require.Equal(t, "far", peer.Name())
 }
 
+// TestClaimIsNotTakenBack by a mirror that has not heard of it: neither by this
+// process's own, nor by that of another proxy, which is left instead.
+func TestClaimIsNotTakenBack(t *testing.T) {
+	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, nil, 10).AsOf(49), nil
+	}}
+	mirror := follow(t, relay, far)
+	edge := mirror.edge
+	edge.takeDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claim(), 50), 50)
+	require.True(t, edge.held)
+	edge.takeOwn(t.Context(), nil, 49)
+	require.True(t, edge.held, "the mirror is behind")
+	mirror.items, mirror.at = map[string]ebonywood.Item{dutyKey: ebonywood.NewItem(dutyKey, edge.claim(), 50)}, 50
+	mirror.followPeer(t.Context(), far)
+	require.Contains(t, mirror.items, dutyKey)
+	require.True(t, edge.held)
+	require.True(t, mirror.alone())
+	edge.takeOwn(t.Context(), nil, 51)
+	require.False(t, edge.held, "the key is gone")
+}
+
 // TestRefusedWatcherFollowsAnother while the directory does not answer it.
 func TestRefusedWatcherFollowsAnother(t *testing.T) {
 	relay := &fakeRelay{follow: func(address string) (ebonywood.MirrorPage, error) {
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -87,6 +87,10 @@
 		why = err.Error()
 	case page.Age() > staleSpan:
 		why = "its mirror is stale"
+	case page.At() < mirror.at:
+		// What is known here, such as this process's own claim to the duty, must not be
+		// taken back by one who has not heard of it yet.
+		why = "its mirror is behind"
 	default:
 		mirror.takePage(ctx, page)
 		return
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -164,7 +164,7 @@
 	defer cancel()
 	revision, err := edge.port.Directory().Create(limited, dutyKey, edge.claim(), keeper.duty.id)
 	if err == nil {
-		edge.takeDuty(ctx, ebonywood.NewItem(dutyKey, edge.claim(), revision))
+		edge.takeDuty(ctx, ebonywood.NewItem(dutyKey, edge.claim(), revision), revision)
 		return nil
 	}
 	if ebonywood.FaultOf(err).Kind() == ebonywood.KindConflict {
@@ -198,7 +198,7 @@
 	edge.mutex.Unlock()
 	renewed, err := edge.port.Directory().Replace(limited, dutyKey, edge.claim(), keeper.duty.id, revision)
 	if err == nil {
-		edge.takeDuty(ctx, ebonywood.NewItem(dutyKey, edge.claim(), renewed))
+		edge.takeDuty(ctx, ebonywood.NewItem(dutyKey, edge.claim(), renewed), renewed)
 	}
 	if err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindConflict {
 		return nil
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -54,7 +54,7 @@
 // section is what is told of the keys under one prefix.
 type section struct {
 	prefix string
-	tell   func(context.Context, map[string]ebonywood.Item)
+	tell   func(ctx context.Context, items map[string]ebonywood.Item, at int64)
 }
 
 func newMirror(edge *Edge, sections ...section) *mirror {
@@ -75,7 +75,7 @@
 				items[key] = item
 			}
 		}
-		each.tell(ctx, items)
+		each.tell(ctx, items, mirror.at)
 	}
 }
 
