Move the fault soak below platform/, whose names it speaks

Cause: the soak drives proxies and the stand-in in the platform's own words (codes, settings, the configuration's fields), which belong in one folder. Ruled out: renaming them in the soak, since it plays callers, members and operator on the wire.

--- a/Makefile
+++ b/Makefile
@@ -70,4 +70,4 @@
 PROXIES ?= 0
 SPAN ?= 8s
 fleet-soak:
-	$(GO) test -count=1 -v -timeout 120m ./test/soak -seed=$(SEED) -seeds=$(SEEDS) -span=$(SPAN) -proxies=$(PROXIES)
+	$(GO) test -count=1 -v -timeout 120m ./platform/soak -seed=$(SEED) -seeds=$(SEEDS) -span=$(SPAN) -proxies=$(PROXIES)
