Promoter: a late answer doesn't turn back what is known of a member

The proxy had ended itself: its own check of readYourWrites failed. Two questions to a replica (a status round and a confirmation) were under way together; the one that left later was answered first at the member but told of last, so that the replica's applied position went back by one to three records between the choice of the replica and the check. Traced: 13 of 13 failures show the choice by a position that covers the floor, and a smaller one a millisecond later, with the same primary and term. No answer was stale: the replica held the records. But reads went to the primary without need, and strict checking ended the proxy.

Ruled out: a replica rewound (one term throughout), a connection opened before (the choice was made by the member's later answer), the pause itself (failures before and after it).

An answer replaces what is known only if it was asked for after the known one came, or tells of a later term, or of no smaller position within the same term.

TestLateAnswerDoesNotTurnBack fails without it.

--- a/internal/decision/promoter/change.go
+++ b/internal/decision/promoter/change.go
@@ -56,7 +56,7 @@
 }
 
 func (watch *watch) hears(now ebonywood.Millis, entry *known) bool {
-	return entry.status.UpstreamAge()+(now-entry.heard) <= watch.silence()
+	return entry.status.UpstreamAge()+(now-entry.told) <= watch.silence()
 }
 
 // witnessed reports whether a replica in reach hears the primary, which means
--- a/internal/decision/promoter/promoter_test.go
+++ b/internal/decision/promoter/promoter_test.go
@@ -162,3 +162,25 @@
 	view, _ := bench.view().Member(member("0"))
 	require.False(t, view.IsReadable())
 }
+
+// TestLateAnswerDoesNotTurnBack delivers the answers to two questions that were
+// under way together in the order in which they did not leave the member.
+func TestLateAnswerDoesNotTurnBack(t *testing.T) {
+	bench := newBench(t)
+	observe := func(asked ebonywood.Millis, term ebonywood.Term, applied uint64) ebonywood.Position {
+		order := ebonywood.NewMemberOrder(instanceID, member("1"), ebonywood.OrderStatus, 0, 0)
+		at := ebonywood.NewPosition(1, applied)
+		status := ebonywood.NewStatus(ebonywood.RoleReplica, term, at, at, 0)
+		bench.handle(ebonywood.NewMemberReply(order, asked, false, status, nil))
+		view, _ := bench.view().Member(member("1"))
+		return view.Applied()
+	}
+	asked := bench.now + 1
+	bench.now += 5
+	require.Equal(t, ebonywood.NewPosition(1, 210), observe(asked, 1, 210))
+	require.Equal(t, ebonywood.NewPosition(1, 210), observe(asked+1, 1, 205), "both were under way")
+	require.Equal(t, ebonywood.NewPosition(1, 204), observe(asked+1, 2, 204), "a later term can take records back")
+	require.Equal(t, ebonywood.NewPosition(1, 204), observe(asked+2, 1, 208), "an earlier term is older")
+	bench.now += 5
+	require.Equal(t, ebonywood.NewPosition(1, 150), observe(bench.now, 2, 150), "asked after the answer")
+}
--- a/internal/decision/promoter/watch.go
+++ b/internal/decision/promoter/watch.go
@@ -55,13 +55,31 @@
 	leaving bool
 	status  ebonywood.Status
 	asked   ebonywood.Millis
-	heard   ebonywood.Millis
-	ever    bool
+	// told is when the answer came that status is from, heard when the last one did.
+	told  ebonywood.Millis
+	heard ebonywood.Millis
+	ever  bool
 	// missed is when a fresh connection last failed.
 	missed ebonywood.Millis
 	failed bool
 }
 
+// isOutdatedBy reports whether an answer tells of a later state than what is known.
+// Of two questions that were under way together, the one that left first may have
+// been answered last. Within a term that the member obeys, positions only grow,
+// so the greater one is the later. Were the smaller one believed, a replica
+// would seem to lose records that a read was sent there for.
+func (entry *known) isOutdatedBy(event ebonywood.MemberReply) bool {
+	if !entry.ever || event.Asked() > entry.told {
+		return true
+	}
+	status := event.Status()
+	if status.Fenced() != entry.status.Fenced() {
+		return status.Fenced() > entry.status.Fenced()
+	}
+	return !status.Applied().Less(entry.status.Applied())
+}
+
 // watch is one instance.
 type watch struct {
 	id       ebonywood.InstanceID
@@ -147,6 +165,7 @@
 func (watch *watch) forgive(gap ebonywood.Millis) {
 	for _, entry := range watch.members {
 		entry.heard += gap
+		entry.told += gap
 	}
 	watch.suspicious = false
 }
@@ -227,8 +246,8 @@
 	if event.Fault() != nil {
 		return watch.refused(now, event)
 	}
-	if event.Asked() >= entry.asked || !entry.ever {
-		entry.status, entry.asked, entry.ever = event.Status(), event.Asked(), true
+	if entry.isOutdatedBy(event) {
+		entry.status, entry.asked, entry.told, entry.ever = event.Status(), event.Asked(), now, true
 	}
 	watch.notePrimary(now, event.Order().Member(), event.Status())
 	watch.view = nil
