Leaving: refuse late work at once, answer before the end, serve who still comes

Cause: while many proxies stop at once, less than half of a zone's are ready, and the platform sends new callers to all of them.

Now the drain decision says by when all has to be answered. Every deadline ends there, so that a caller is told before the process ends.

Ruled out: a request held by the platform (sent and read within a millisecond), a member at work for too long (answers in 40 ms).

--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -21,6 +21,9 @@
 	keptLimit = 500
 	// beginLimit bounds the opening of a transaction, which needs no slot.
 	beginLimit = 400 * time.Millisecond
+	// lateSpan is how long before its end a leaving process refuses new work, which
+	// another proxy can finish.
+	lateSpan ebonywood.Millis = 1000
 )
 
 // session is one caller's session. Everything that a connection must hold before
@@ -164,6 +167,9 @@
 	if set == nil {
 		return nil, nil, failure(ebonywood.CodeBusy, "no configuration is known yet")
 	}
+	if session.edge.isLate() {
+		return nil, nil, failure(ebonywood.CodeBusy, "the proxy is leaving")
+	}
 	route, found := set.Route("", session.database)
 	if !found {
 		return nil, nil, failure(ebonywood.CodeNoDatabase, "no route names this database")
@@ -185,8 +191,15 @@
 	if timeout <= 0 {
 		timeout = session.edge.limits.Span(ebonywood.LimitDefaultTimeout)
 	}
+	now := session.edge.now()
+	if end := session.edge.port.Snapshot().EndsAt(); end > 0 {
+		timeout = min(timeout, (end - now).Duration())
+	}
 	began := time.Now()
-	return &attempt{waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare), route: route, began: began, asked: session.edge.now(), until: began.Add(timeout), forwarded: session.forwarded}
+	return &attempt{
+		route: route, began: began, asked: now, until: began.Add(timeout), forwarded: session.forwarded,
+		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
+	}
 }
 
 // resolve finds the prepared statement that an execution names, and rewrites the
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -139,7 +139,7 @@
 // Open begins a session.
 func (edge *Edge) Open(database string) (ebonywood.Session, ebonywood.Code) {
 	set := edge.port.Snapshot().Set()
-	if set == nil {
+	if set == nil || edge.isLate() {
 		return nil, ebonywood.CodeBusy
 	}
 	if _, found := set.Route("", database); !found {
@@ -148,6 +148,12 @@
 	return &session{edge: edge, database: database}, ebonywood.CodeDone
 }
 
+// isLate reports whether this process leaves so soon that it should begin nothing.
+func (edge *Edge) isLate() bool {
+	end := edge.port.Snapshot().EndsAt()
+	return end > 0 && end-edge.now() < lateSpan
+}
+
 func (edge *Edge) now() ebonywood.Millis { return edge.port.Clock().Now() }
 
 // post hands an event to the control loop without waiting for it.
--- a/snapshot.go
+++ b/snapshot.go
@@ -111,6 +111,7 @@
 	set      *ObjectSet
 	views    map[InstanceID]*InstanceView
 	draining bool
+	endsAt   Millis
 	peers    []PeerView
 	owners   *Owners
 	news     []PeerUpdate
@@ -154,6 +155,10 @@
 // IsDraining reports whether the process is on its way out.
 func (snapshot *Snapshot) IsDraining() bool { return snapshot.draining }
 
+// EndsAt is the time by which a process on its way out has to have answered; 0 if it
+// stays, or takes any time.
+func (snapshot *Snapshot) EndsAt() Millis { return snapshot.endsAt }
+
 // Peers are the other proxies that are believed to live.
 func (snapshot *Snapshot) Peers() []PeerView { return snapshot.peers }
 
@@ -203,8 +208,11 @@
 // AddView adds an instance.
 func (draft *Draft) AddView(view *InstanceView) { draft.snapshot.views[view.id] = view }
 
-// SetDraining marks the process as leaving.
-func (draft *Draft) SetDraining() { draft.snapshot.draining = true }
+// SetDraining marks the process as leaving; endsAt is 0 if it takes any time.
+func (draft *Draft) SetDraining(endsAt Millis) {
+	draft.snapshot.draining = true
+	draft.snapshot.endsAt = endsAt
+}
 
 // SetPeers sets the live proxies, this one included; not to be changed later.
 func (draft *Draft) SetPeers(peers []PeerView) { draft.snapshot.peers = peers }
