--- /dev/null
+++ b/internal/decision/drain/drain_test.go
@@ -0,0 +1,34 @@
+package drain
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+func snapshotOf(drain *Drain) *ebonywood.Snapshot {
+	draft := ebonywood.NewDraft()
+	drain.Contribute(draft)
+	return draft.Publish()
+}
+
+// TestEndIsSetOnce has a process asked to stop twice.
+func TestEndIsSetOnce(t *testing.T) {
+	drain := New(6000)
+	require.False(t, snapshotOf(drain).IsDraining())
+	require.Zero(t, snapshotOf(drain).EndsAt())
+	drain.Handle(1000, ebonywood.DrainAsked{})
+	drain.Handle(3000, ebonywood.DrainAsked{})
+	require.True(t, snapshotOf(drain).IsDraining())
+	require.Equal(t, 7000-cutSpan, snapshotOf(drain).EndsAt())
+}
+
+// TestAnyTimeHasNoEnd lets a process leave that waits for every transaction.
+func TestAnyTimeHasNoEnd(t *testing.T) {
+	drain := &Drain{}
+	drain.Handle(1000, ebonywood.DrainAsked{})
+	require.True(t, snapshotOf(drain).IsDraining())
+	require.Zero(t, snapshotOf(drain).EndsAt())
+}
