--- a/internal/edge/sessions/counters.go
+++ b/internal/edge/sessions/counters.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/linebudget"
 )
 
 const (
@@ -23,14 +24,14 @@
 	byName *sync.Map
 	// names counts the routes and outcomes that have a timer of their own.
 	names  *atomic.Int64
-	second *atomic.Int64
-	lines  *atomic.Int64
-	// most bounds the log lines about single requests in a second.
-	most int64
+	budget *linebudget.Budget
 }
 
 func newCounters(scope tally.Scope, log logr.Logger, most int) counters {
-	return counters{scope: scope, log: log, byName: &sync.Map{}, names: &atomic.Int64{}, second: &atomic.Int64{}, lines: &atomic.Int64{}, most: int64(most)}
+	return counters{
+		scope: scope, log: log, byName: &sync.Map{}, names: &atomic.Int64{},
+		budget: linebudget.New(most, scope, "request"),
+	}
 }
 
 // count adds one to a counter with one label.
@@ -60,17 +61,7 @@
 
 // line writes a line about one request unless this second has had its share.
 func (counters counters) line(message string, details ...any) {
-	second := time.Now().Unix()
-	if counters.second.Swap(second) != second {
-		if dropped := counters.lines.Swap(0) - counters.most; dropped > 0 {
-			counters.log.Info("linesDropped", "count", dropped)
-		}
-	}
-	if counters.lines.Add(1) > counters.most {
-		counters.count("linesDropped", message)
-		return
-	}
-	counters.log.Info(message, details...)
+	counters.budget.Line(counters.log, message, details...)
 }
 
 // account records how a request ended, for the metrics and the service levels,
--- /dev/null
+++ b/internal/linebudget/linebudget_test.go
@@ -0,0 +1,34 @@
+package linebudget
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+)
+
+// TestDroppedLinesAreCountedAndTold writes more than a second's share.
+func TestDroppedLinesAreCountedAndTold(t *testing.T) {
+	var lines []string
+	log := funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
+	scope := tally.NewTestScope("", nil)
+	budget := New(20, scope, "refused")
+	time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second)))
+	for range 500 {
+		budget.Line(log, "refused", "code", "busy")
+	}
+	require.Len(t, lines, 20)
+	require.Equal(t, int64(480), scope.Snapshot().Counters()["linesDropped+kind=refused"].Value())
+	time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second)))
+	budget.Line(log, "refused", "code", "busy")
+	require.Len(t, lines, 22)
+	require.True(t, strings.Contains(lines[20], `"linesDropped" "count"=480 "of"="refused"`), lines[20])
+}
+
+func TestZeroBudgetWritesNothing(*testing.T) {
+	var budget Budget
+	budget.Line(funcr.New(func(string, string) { panic("a line") }, funcr.Options{}), "refused")
+}
