Run group: start nothing once its owner has finished waiting

Cause: the control loop starts work in an edge's group (Edge.Perform) while that edge waits for the group. The wait group was then used again from zero, beside its Wait, and the work outlived the edge. The group now counts its goroutines under a mutex, waits for those that have started, and starts no others after that.

TestWorkThatStartsDuringWaitIsAwaited failed on the code before (20 goroutines still ran) and passes 5 times under the race detector.

--- a/internal/rungroup/rungroup.go
+++ b/internal/rungroup/rungroup.go
@@ -21,6 +21,13 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	wait   conc.WaitGroup
+
+	mutex sync.Mutex
+	// running is the number of goroutines that have not returned; idle is signaled
+	// when it becomes 0. closed is set once Wait has seen it at 0.
+	running int
+	closed  bool
+	idle    *sync.Cond
 }
 
 // New returns a group whose context ends when parent does.
@@ -34,6 +41,7 @@
 	group.once.Do(func() {
 		group.parent = parent
 		group.ctx, group.cancel = context.WithCancelCause(parent)
+		group.idle = sync.NewCond(&group.mutex)
 	})
 }
 
@@ -45,10 +53,18 @@
 
 // Go starts a goroutine. An error that work returns before the context has ended
 // stops the group, and so does a panic; otherwise the group's other goroutines
-// could wait forever for the one that failed.
-func (group *Group) Go(work func(ctx context.Context) error) {
+// could wait forever for the one that failed. Go does nothing once Wait has found
+// that all goroutines have returned, and reports whether it started work.
+func (group *Group) Go(work func(ctx context.Context) error) (started bool) {
 	ctx := group.Context()
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	if group.closed {
+		return false
+	}
+	group.running++
 	group.wait.Go(func() {
+		defer group.finish()
 		var err error
 		caught := panics.Try(func() { err = work(ctx) })
 		switch {
@@ -58,6 +74,17 @@
 			group.cancel(err)
 		}
 	})
+	return true
+}
+
+// finish records that a goroutine has returned.
+func (group *Group) finish() {
+	group.mutex.Lock()
+	defer group.mutex.Unlock()
+	group.running--
+	if group.running == 0 {
+		group.idle.Broadcast()
+	}
 }
 
 // Every starts a goroutine that calls work once per period until the group stops.
@@ -84,9 +111,17 @@
 	group.cancel(context.Canceled)
 }
 
-// Wait blocks until all goroutines have returned, and returns the error that
-// stopped the group. It is nil if Stop did so, or if the parent has ended.
+// Wait blocks until all goroutines have returned, after which the group starts no
+// others. It returns the error that stopped the group, nil if Stop did so or if the
+// parent has ended.
 func (group *Group) Wait() error {
+	group.init(context.Background())
+	group.mutex.Lock()
+	for group.running > 0 {
+		group.idle.Wait()
+	}
+	group.closed = true
+	group.mutex.Unlock()
 	group.wait.Wait()
 	cause := context.Cause(group.Context())
 	if errors.Is(cause, context.Canceled) || group.parent.Err() != nil {
