Admission: a refused ticket releases no slot

Cause: Evict or RefuseAll may refuse a ticket in the moment in which its timer or context ends. withdraw took a ticket that had left the queue for an admitted one, so it released a slot that was never held, and the caller got ErrTimeout for ErrRefused. withdraw now reads the result that was sent.

TestRefusalAndTimeoutReleaseOnce plays all orders of arrival, refusal, timeout, admission and release (rapid); on the code before it fails in the first case.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -75,8 +75,7 @@
 	case <-ctx.Done():
 	case <-timer.C:
 	}
-	controller.withdraw(ticket)
-	return 0, wait, ErrTimeout
+	return 0, wait, controller.withdraw(ticket, result)
 }
 
 // outcome returns the results of Acquire for work that was admitted or refused.
@@ -90,15 +89,22 @@
 // now returns the time since start, which is the queue's origin of time.
 func (controller *Controller) now() time.Duration { return time.Since(controller.start) }
 
-// withdraw removes a ticket from the queue. If the ticket has left the queue in the
-// meantime, it releases the slot.
-func (controller *Controller) withdraw(ticket uint64) {
+// withdraw ends the wait for a ticket whose time is over, and returns the error of that
+// wait. Its result may have been sent in the meantime: work that was refused stays
+// refused, and work that was admitted releases its slot.
+func (controller *Controller) withdraw(ticket uint64, result <-chan bool) error {
 	controller.mutex.Lock()
 	defer controller.mutex.Unlock()
-	delete(controller.waiters, ticket)
-	if !controller.queue.Remove(ticket) {
-		controller.releaseLocked(ticket, 0)
+	if _, waiting := controller.waiters[ticket]; waiting {
+		delete(controller.waiters, ticket)
+		controller.queue.Remove(ticket)
+		return ErrTimeout
+	}
+	if admitted := <-result; !admitted {
+		return ErrRefused
 	}
+	controller.releaseLocked(ticket, 0)
+	return ErrTimeout
 }
 
 // Release frees the slot of a ticket that held it for the elapsed time.
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -77,3 +78,99 @@
 		}
 	}
 }
+
+// waiter is work whose Acquire has not returned, as the interleavings below hold it.
+type waiter struct {
+	ticket uint64
+	result chan bool
+}
+
+// enqueue does what Acquire does before it waits, and keeps the ticket waiting.
+func enqueue(controller *Controller) (waiter, bool) {
+	controller.mutex.Lock()
+	defer controller.mutex.Unlock()
+	controller.lastTicket++
+	held := waiter{ticket: controller.lastTicket, result: make(chan bool, 1)}
+	_, accepted := controller.queue.Push(held.ticket, 1, "a", 1, true, time.Millisecond, true, controller.now(), far)
+	if !accepted {
+		return waiter{}, false
+	}
+	controller.waiters[held.ticket] = held.result
+	controller.admitWaiting()
+	return held, true
+}
+
+// TestRefusalAndTimeoutReleaseOnce plays every order of admission, refusal, release and
+// timeout. Only work that was admitted holds a slot, and work that was refused is never
+// reported as timed out.
+func TestRefusalAndTimeoutReleaseOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 3).Draw(t, "slots")
+		controller := New(slots)
+		var waiting []waiter
+		running := map[uint64]bool{}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(*rapid.T) {
+				if held, accepted := enqueue(controller); accepted {
+					waiting = append(waiting, held)
+				}
+			},
+			"refuseAll": func(*rapid.T) { controller.RefuseAll() },
+			"timeout": func(t *rapid.T) {
+				if len(waiting) == 0 {
+					t.Skip("nothing waits")
+				}
+				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "waiter")
+				held := waiting[i]
+				waiting = append(waiting[:i], waiting[i+1:]...)
+				refused := len(held.result) == 1
+				if refused {
+					refused = !<-held.result
+					held.result <- !refused
+				}
+				err := controller.withdraw(held.ticket, held.result)
+				if refused {
+					require.ErrorIs(t, err, ErrRefused)
+				} else {
+					require.ErrorIs(t, err, ErrTimeout)
+				}
+			},
+			"admit": func(t *rapid.T) {
+				for i, held := range waiting {
+					if len(held.result) == 0 {
+						continue
+					}
+					waiting = append(waiting[:i], waiting[i+1:]...)
+					if <-held.result {
+						running[held.ticket] = true
+					}
+					return
+				}
+				t.Skip("no result")
+			},
+			"release": func(t *rapid.T) {
+				for ticket := range running {
+					delete(running, ticket)
+					controller.Release(ticket, time.Millisecond)
+					return
+				}
+				t.Skip("nothing runs")
+			},
+			"": func(t *rapid.T) {
+				admitted := len(running)
+				for _, held := range waiting {
+					if len(held.result) == 0 {
+						continue
+					}
+					result := <-held.result
+					held.result <- result
+					if result {
+						admitted++
+					}
+				}
+				require.Equal(t, admitted, controller.Running())
+				require.LessOrEqual(t, controller.Running(), slots)
+			},
+		})
+	})
+}
