Promoter: switch over with any number of members, and count silence in own time

Cause 1: a switchover fenced the primary and the candidate only, which is no majority of five; the phase timed out and a failover followed. Once the candidate has the whole log, all replicas are fenced, and it is promoted as soon as it and a majority are. Fencing exactly as many as needed was ruled out: one that does not reply would time out the phase again.

Cause 2: a process that got no processor for less than maxTickGap at a time counted all of that time as the silence of the primary, so an overloaded machine turned a switchover into a failover. What a tick is late beyond two periods no longer counts, up to the last reply.

Tests that fail on the code before: TestSwitchoverNeedsNoFailover (5 and 7 members), TestSwitchoverPromotesOnlyWithFencedMajority, TestStarvedProcessCausesNoFailover.

--- a/internal/decision/promoter/change.go
+++ b/internal/decision/promoter/change.go
@@ -170,9 +170,10 @@
 		monitor.enterPhase(now, phaseDraining)
 		return []ebonywood.Action{monitor.memberOrder(monitor.candidate, ebonywood.OrderStatus, 0)}
 	case phaseDraining:
-		// The leaving primary and the candidate hold the same log.
+		// The leaving primary and the candidate hold the same log, which no other member
+		// can exceed.
 		monitor.fenced[id] = event.Status()
-		if monitor.hasFencedMajority() && id == monitor.candidate {
+		if _, found := monitor.fenced[monitor.candidate]; found && monitor.hasFencedMajority() {
 			return monitor.promote(now, monitor.candidate)
 		}
 	}
@@ -291,9 +292,8 @@
 }
 
 // advanceDrain polls the candidate's status until it has the leaving primary's whole
-// log, then fences it. Together with the leaving primary, the candidate is a majority of
-// an instance of up to three members. In a larger one the phase times out, and a
-// failover replaces the fenced primary.
+// log, then fences the replicas. The candidate is promoted once it and a majority,
+// which includes the leaving primary, are fenced.
 func (monitor *monitor) advanceDrain(now ebonywood.Millis, event ebonywood.MemberReply) []ebonywood.Action {
 	if monitor.phase != phaseDraining || event.Order().Member() != monitor.candidate {
 		return nil
@@ -304,5 +304,18 @@
 	if !event.Status().LogEnd().Covers(monitor.finalLogEnd) {
 		return []ebonywood.Action{monitor.memberOrder(monitor.candidate, ebonywood.OrderStatus, 0)}
 	}
-	return []ebonywood.Action{monitor.memberOrder(monitor.candidate, ebonywood.OrderFence, monitor.phaseTerm)}
+	return monitor.fenceReplicas()
+}
+
+// fenceReplicas orders the members that are not yet fenced to obey the new term. The
+// candidate comes first, since nothing can be promoted without it.
+func (monitor *monitor) fenceReplicas() []ebonywood.Action {
+	actions := []ebonywood.Action{monitor.memberOrder(monitor.candidate, ebonywood.OrderFence, monitor.phaseTerm)}
+	for _, entry := range monitor.members {
+		id := entry.member.ID()
+		if _, found := monitor.fenced[id]; !found && id != monitor.candidate {
+			actions = append(actions, monitor.memberOrder(id, ebonywood.OrderFence, monitor.phaseTerm))
+		}
+	}
+	return actions
 }
--- a/internal/decision/promoter/monitor.go
+++ b/internal/decision/promoter/monitor.go
@@ -186,14 +186,21 @@
 	return nil
 }
 
-// discountPause shifts the times of the members' replies by the duration for which
-// this process was paused, and clears the suspicion.
-func (monitor *monitor) discountPause(gap ebonywood.Millis) {
+// discountPause leaves the duration for which this process was paused out of every
+// member's silence, and clears the suspicion.
+func (monitor *monitor) discountPause(now, gap ebonywood.Millis) {
+	monitor.discountLateness(now, gap)
+	monitor.suspected = false
+}
+
+// discountLateness leaves a time out of every member's silence and out of the duration
+// of the suspicion.
+func (monitor *monitor) discountLateness(now, lateness ebonywood.Millis) {
 	for _, entry := range monitor.members {
-		entry.repliedAt += gap
-		entry.statusAt += gap
+		entry.repliedAt = min(now, entry.repliedAt+lateness)
+		entry.statusAt = min(now, entry.statusAt+lateness)
 	}
-	monitor.suspected = false
+	monitor.suspectedAt = min(now, monitor.suspectedAt+lateness)
 }
 
 // requestRound starts a round now, or after minRoundInterval if one started recently.
--- a/internal/decision/promoter/promoter.go
+++ b/internal/decision/promoter/promoter.go
@@ -24,10 +24,17 @@
 // Name is the plug-in's name.
 const Name = "promoter"
 
-// maxTickGap is the longest interval between two ticks of a process that runs. After
-// a longer one this process must have been paused itself, so that missing replies
-// are no evidence of a failed member.
-const maxTickGap ebonywood.Millis = 100
+const (
+	// maxTickGap is the longest interval between two ticks of a process that runs. After
+	// a longer one this process must have been paused itself, so that missing replies
+	// are no evidence of a failed member.
+	maxTickGap ebonywood.Millis = 100
+	// punctualTickPeriods is how many tick periods may pass between two ticks of a
+	// process that gets its processor time. What a gap lasts beyond that was spent
+	// waiting for a processor, like the replies that did not arrive, and does not count
+	// as silence of a member.
+	punctualTickPeriods = 2
+)
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision { return New(settings) })
@@ -95,16 +102,20 @@
 	return nil
 }
 
-// tick advances every monitor. After a long gap between ticks this process was
-// paused, so the gap does not count towards the silence of any member.
+// tick advances every monitor. The lateness of a tick does not count towards the silence
+// of any member, and after a long gap between ticks none of it counts.
 func (promoter *Promoter) tick(now ebonywood.Millis) []ebonywood.Action {
 	gap := now - promoter.lastTickAt
+	lateness := gap - punctualTickPeriods*promoter.settings.TickPeriod()
 	promoter.lastTickAt = now
 	var actions []ebonywood.Action
 	for _, id := range promoter.instanceOrder {
 		monitor := promoter.monitors[id]
-		if gap > maxTickGap {
-			monitor.discountPause(gap)
+		switch {
+		case gap > maxTickGap:
+			monitor.discountPause(now, gap)
+		case lateness > 0:
+			monitor.discountLateness(now, lateness)
 		}
 		actions = append(actions, monitor.tick(now)...)
 	}
--- a/internal/decision/promoter/promoter_test.go
+++ b/internal/decision/promoter/promoter_test.go
@@ -1,6 +1,8 @@
 package promoter
 
 import (
+	"fmt"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -11,8 +13,8 @@
 
 const instanceID = ebonywood.InstanceID("g/a")
 
-// harness simulates three members that reply to orders immediately unless they are
-// unreachable.
+// harness simulates the members of an instance, which reply to orders immediately unless
+// they are unreachable.
 type harness struct {
 	promoter    *Promoter
 	now         ebonywood.Millis
@@ -20,20 +22,25 @@
 	status      map[ebonywood.MemberID]ebonywood.Status
 	promoted    []ebonywood.MemberID
 	fences      int
+	members     []ebonywood.Member
 }
 
 func member(number string) ebonywood.MemberID {
 	return ebonywood.MemberID(string(instanceID) + "/m" + number)
 }
 
-func newHarness(t *testing.T) *harness {
+// newHarness returns an instance of three members.
+func newHarness(t *testing.T) *harness { return newHarnessOf(t, 3) }
+
+// newHarnessOf returns an instance of that many members, of which the first is primary.
+func newHarnessOf(t *testing.T, memberCount int) *harness {
 	settings, err := settingsfile.Parse("test", []byte(
 		"name: p\nzone: z\ncallerAddress: 10.0.0.1:1\nplatform: {addresses: [\"http://10.0.0.1:1\"]}\n"))
 	require.NoError(t, err)
 	harness := &harness{promoter: New(settings), unreachable: map[ebonywood.MemberID]bool{}, status: map[ebonywood.MemberID]ebonywood.Status{}}
-	var members []ebonywood.Member
-	for i, number := range []string{"0", "1", "2"} {
-		members = append(members, ebonywood.NewMember(member(number), "z", "10.0.0.2:1", 3, 20, false))
+	for i := range memberCount {
+		number := strconv.Itoa(i)
+		harness.members = append(harness.members, ebonywood.NewMember(member(number), "z", "10.0.0.2:1", 3, 20, false))
 		role := ebonywood.RoleReplica
 		if i == 0 {
 			role = ebonywood.RolePrimary
@@ -41,13 +48,18 @@
 		at := ebonywood.NewPosition(1, uint64(100-i))
 		harness.status[member(number)] = ebonywood.NewStatus(role, 1, at, at, 0)
 	}
-	set := ebonywood.NewObjectSet(1, "h", nil, []ebonywood.Instance{ebonywood.NewInstance(instanceID, members)}, nil)
-	harness.handle(ebonywood.NewObjectSetApplied(set))
+	harness.apply(1)
 	harness.run(500)
 	require.Equal(t, member("0"), harness.view().Primary())
 	return harness
 }
 
+// apply puts an object set with the present members in force.
+func (harness *harness) apply(generation uint64) {
+	instances := []ebonywood.Instance{ebonywood.NewInstance(instanceID, harness.members)}
+	harness.handle(ebonywood.NewObjectSetApplied(ebonywood.NewObjectSet(generation, "h", nil, instances, nil)))
+}
+
 func (harness *harness) view() *ebonywood.InstanceView {
 	draft := ebonywood.NewDraft()
 	harness.promoter.Contribute(draft)
@@ -150,6 +162,24 @@
 	require.Zero(t, harness.fences)
 }
 
+// TestStarvedProcessCausesNoFailover lets this process run only every 90 ms, which is no
+// pause, while it can't reach a primary that a replica still receives from. A primary
+// that nobody hears is replaced all the same.
+func TestStarvedProcessCausesNoFailover(t *testing.T) {
+	const gap = 90
+	harness := newHarness(t)
+	harness.setUpstreamAge(300)
+	harness.unreachable[member("0")] = true
+	for range 45 {
+		harness.now += gap
+		harness.handle(ebonywood.Tick{})
+	}
+	require.Zero(t, harness.fences, "silent for 4.05 s, of which this process ran for 0.9 s")
+	harness.setUpstreamAge(1000)
+	harness.run(200)
+	require.Equal(t, []ebonywood.MemberID{member("1")}, harness.promoted)
+}
+
 func TestMinorityPromotesNobody(t *testing.T) {
 	harness := newHarness(t)
 	harness.unreachable[member("0")], harness.unreachable[member("1")] = true, true
@@ -187,3 +217,48 @@
 	harness.now += 5
 	require.Equal(t, ebonywood.NewPosition(1, 150), observe(harness.now, 2, 150), "requested after the last reply")
 }
+
+// TestSwitchoverNeedsNoFailover replaces a leaving primary. The switchover promotes the
+// most advanced replica without waiting for any phase to time out, whatever the number of
+// members is.
+func TestSwitchoverNeedsNoFailover(t *testing.T) {
+	for _, memberCount := range []int{3, 5, 7} {
+		t.Run(fmt.Sprint(memberCount, " members"), func(t *testing.T) {
+			harness := newHarnessOf(t, memberCount)
+			for i := range harness.members {
+				status := harness.status[harness.members[i].ID()]
+				full := harness.status[member("0")].LogEnd()
+				if i == 1 {
+					harness.status[member("1")] = ebonywood.NewStatus(status.Role(), 1, full, full, 0)
+				}
+			}
+			harness.members[0] = harness.members[0].WithLeaving()
+			harness.apply(2)
+			harness.run(10)
+			require.True(t, harness.view().IsHoldingWrites(), "writes are held for the switchover")
+			harness.handle(ebonywood.NewWritesDrained(instanceID))
+			harness.run(10)
+			require.Equal(t, []ebonywood.MemberID{member("1")}, harness.promoted)
+			require.Equal(t, member("1"), harness.view().Primary())
+		})
+	}
+}
+
+// TestSwitchoverPromotesOnlyWithFencedMajority keeps two of five members unreachable
+// during a switchover, so that the others are just a majority, and then a third one.
+func TestSwitchoverPromotesOnlyWithFencedMajority(t *testing.T) {
+	for _, unreachable := range []int{2, 3} {
+		harness := newHarnessOf(t, 5)
+		full := harness.status[member("0")].LogEnd()
+		harness.status[member("1")] = ebonywood.NewStatus(ebonywood.RoleReplica, 1, full, full, 0)
+		harness.members[0] = harness.members[0].WithLeaving()
+		harness.apply(2)
+		harness.run(10)
+		for i := range unreachable {
+			harness.unreachable[member(strconv.Itoa(4-i))] = true
+		}
+		harness.handle(ebonywood.NewWritesDrained(instanceID))
+		harness.run(10)
+		require.Equal(t, unreachable == 2, len(harness.promoted) == 1, "%d unreachable", unreachable)
+	}
+}
