--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -42,5 +42,8 @@
 		return ebonywood.NewFault(ebonywood.KindBadInput, err.Error(), "name readable log files")
 	}
 	defer file.Close()
-	return logs.Add(file)
+	if err := logs.Add(file); err != nil {
+		return ebonywood.NewFault(ebonywood.KindBadInput, path+": "+err.Error(), "name readable log files")
+	}
+	return nil
 }
--- a/internal/credentials/credentials.go
+++ b/internal/credentials/credentials.go
@@ -4,8 +4,6 @@
 package credentials
 
 import (
-	"bufio"
-	"bytes"
 	"encoding/base64"
 	"fmt"
 	"os"
@@ -21,6 +19,8 @@
 	verifierPrefix = "SCRAM-SHA-256$"
 	// minIterations is the minimum iteration count of RFC 7677.
 	minIterations = 4096
+	// maxLineSize is the maximum length of a caller's line, in bytes.
+	maxLineSize = 4 << 10
 )
 
 // Credentials holds the SCRAM verifiers of all callers by user name. The zero value
@@ -46,16 +46,19 @@
 func Parse(path string, text []byte) (*Credentials, error) {
 	credentials := &Credentials{byUser: map[string]scram.StoredCredentials{}}
 	var faults []string
-	scanner := bufio.NewScanner(bytes.NewReader(text))
-	for number := 1; scanner.Scan(); number++ {
-		line := strings.TrimSpace(scanner.Text())
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
 		if line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
+		if len(line) > maxLineSize {
+			faults = append(faults, fmt.Sprintf("%s:%d: the line has more than %d bytes", path, i+1, maxLineSize))
+			continue
+		}
 		user, verifier, _ := strings.Cut(line, ":")
 		stored, problem := parseVerifier(verifier)
 		if problem != "" {
-			faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, number, user, problem))
+			faults = append(faults, fmt.Sprintf("%s:%d: %s: %s", path, i+1, user, problem))
 		}
 		credentials.byUser[user] = stored
 	}
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -5,11 +5,14 @@
 	"net"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clock"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
 
@@ -42,3 +45,29 @@
 	require.ErrorIs(t, err, net.ErrClosed)
 	require.Equal(t, 3, listener.calls)
 }
+
+// meteredPort implements what recordMetrics uses of the port, and stores the requests
+// that met their objective.
+type meteredPort struct {
+	ebonywood.Port
+	served []bool
+}
+
+func (*meteredPort) Metrics() tally.Scope                        { return tally.NoopScope }
+func (*meteredPort) Clock() ebonywood.Clock                      { return clock.Monotonic{} }
+func (port *meteredPort) ServiceLevels() ebonywood.ServiceLevels { return port }
+func (*meteredPort) Report(ebonywood.Millis) any                 { return nil }
+func (port *meteredPort) Record(_ string, _ ebonywood.Objective, succeeded bool, _ time.Duration, _ ebonywood.Millis) {
+	port.served = append(port.served, succeeded)
+}
+
+// TestBadInputKeepsTheServiceLevel covers requests that fail here or at the target.
+func TestBadInputKeepsTheServiceLevel(t *testing.T) {
+	port := &meteredPort{}
+	caller := &callerSession{edge: &Edge{port: port}, route: ebonywood.NewRoute("shop", "", "shop", nil, nil, 0, 1, false, false, ebonywood.Objective{})}
+	for _, kind := range []ebonywood.FaultKind{ebonywood.KindBadInput, ebonywood.KindUnavailable, ebonywood.KindUnknown} {
+		caller.recordMetrics(ebonywood.NewFault(kind, "", ""), time.Millisecond)
+	}
+	caller.recordMetrics(nil, time.Millisecond)
+	require.Equal(t, []bool{true, false, false, true}, port.served)
+}
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -306,13 +306,19 @@
 }
 
 // recordMetrics records the request's latency and outcome in the metrics and in the
-// route's service level. An error returned by the target, for example for invalid SQL,
-// has the outcome "answered" and does not lower the service level.
+// route's service level. A request that is refused as bad input, by the target or by this
+// proxy, does not lower the service level.
 func (caller *callerSession) recordMetrics(fault *ebonywood.Fault, duration time.Duration) {
 	outcome := "answered"
 	if fault != nil {
 		outcome = fault.Kind().String()
 	}
 	caller.edge.meter(caller.route.Name(), outcome).record(duration)
-	caller.edge.port.ServiceLevels().Record(caller.route.Name(), caller.route.Objective(), fault == nil, duration, caller.edge.port.Clock().Now())
+	caller.edge.port.ServiceLevels().Record(caller.route.Name(), caller.route.Objective(), isServed(fault), duration, caller.edge.port.Clock().Now())
+}
+
+// isServed reports whether the system did its part for a request: it answered, or the
+// caller sent what nobody could run.
+func isServed(fault *ebonywood.Fault) bool {
+	return fault == nil || fault.Kind() == ebonywood.KindBadInput
 }
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -11,6 +11,8 @@
 	"io"
 	"slices"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 const (
@@ -50,23 +52,46 @@
 }
 
 // Add reads a log. Text before a line's JSON object, such as the timestamp of a log
-// collector, is ignored. Lines without a JSON object that has a message are skipped
-// and counted.
+// collector, is ignored. Lines without a JSON object that has a message, and lines of
+// more than maxLineBytes, are skipped and counted. The error is that of the source.
 func (logs *Logs) Add(source io.Reader) error {
-	lines := bufio.NewScanner(source)
-	lines.Buffer(nil, maxLineBytes)
-	for lines.Scan() {
-		text := lines.Bytes()
-		start := bytes.IndexByte(text, '{')
-		var parsed entry
-		if start < 0 || json.Unmarshal(text[start:], &parsed) != nil || parsed.Message == "" {
+	reader := bufio.NewReaderSize(source, maxLineBytes)
+	for {
+		text, err := reader.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
 			logs.skipped++
-			continue
+			err = skipLine(reader)
+		} else if len(text) > 0 {
+			logs.addLine(text)
 		}
-		parsed.raw = string(text[start:])
-		logs.entries = append(logs.entries, parsed)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// skipLine reads the rest of a line.
+func skipLine(reader *bufio.Reader) error {
+	for {
+		_, err := reader.ReadSlice('\n')
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return err
+		}
+	}
+}
+
+func (logs *Logs) addLine(text []byte) {
+	start := bytes.IndexByte(text, '{')
+	var parsed entry
+	if start < 0 || json.Unmarshal(text[start:], &parsed) != nil || parsed.Message == "" {
+		logs.skipped++
+		return
 	}
-	return lines.Err()
+	parsed.raw = string(bytes.TrimSpace(text[start:]))
+	logs.entries = append(logs.entries, parsed)
 }
 
 // Print writes the decisions about the request in order of time, each with the
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -30,3 +30,17 @@
 	require.False(t, found)
 	require.Contains(t, text.String(), "4 lines read, 1 skipped")
 }
+
+// TestLongLinesAreSkipped puts lines that are too long before a decision and at the end.
+func TestLongLinesAreSkipped(t *testing.T) {
+	long := `{"message":"` + strings.Repeat("x", 3*maxLineBytes) + `"}`
+	var logs Logs
+	require.NoError(t, logs.Add(strings.NewReader(long+"\n"+log+long)))
+	var text strings.Builder
+	found, err := logs.Print(&text, "r1")
+	require.NoError(t, err)
+	require.True(t, found)
+	_, err = logs.Print(&text, "unheard")
+	require.NoError(t, err)
+	require.Contains(t, text.String(), "4 lines read, 3 skipped")
+}
--- a/internal/linebudget/linebudget.go
+++ b/internal/linebudget/linebudget.go
@@ -13,8 +13,8 @@
 )
 
 // Budget writes a limited number of lines per second; it counts the lines that it
-// drops and logs their number. It is safe for concurrent use. The zero value drops
-// every line.
+// drops and logs their number. It is safe for concurrent use. The zero value, and a
+// budget of no lines, writes nothing.
 type Budget struct {
 	perSecond int64
 	dropped   tally.Counter
@@ -31,6 +31,10 @@
 // Line writes a line unless the budget of the current second is used up. The first
 // call in a new second also logs how many lines the last second with calls dropped.
 func (budget *Budget) Line(log logr.Logger, message string, details ...any) {
+	if budget.perSecond <= 0 {
+		budget.countDropped()
+		return
+	}
 	second := time.Now().Unix()
 	if budget.second.Swap(second) != second {
 		if dropped := budget.offered.Swap(0) - budget.perSecond; dropped > 0 {
@@ -39,7 +43,13 @@
 	}
 	if budget.offered.Add(1) <= budget.perSecond {
 		log.Info(message, details...)
-	} else if budget.dropped != nil {
+		return
+	}
+	budget.countDropped()
+}
+
+func (budget *Budget) countDropped() {
+	if budget.dropped != nil {
 		budget.dropped.Inc(1)
 	}
 }
--- a/internal/linebudget/linebudget_test.go
+++ b/internal/linebudget/linebudget_test.go
@@ -29,7 +29,21 @@
 	require.True(t, strings.Contains(lines[20], `"linesDropped" "count"=480 "of"="refused"`), lines[20])
 }
 
-func TestZeroBudgetWritesNothing(*testing.T) {
-	var budget Budget
-	budget.Line(funcr.New(func(string, string) { panic("a line") }, funcr.Options{}), "refused")
+// TestZeroBudgetWritesNothing offers lines in two seconds: neither they nor the number of
+// those that were dropped may be written. The counter has them all.
+func TestZeroBudgetWritesNothing(t *testing.T) {
+	log := funcr.New(func(string, string) { panic("a line") }, funcr.Options{})
+	scope := tally.NewTestScope("", nil)
+	var zero Budget
+	budgets := []*Budget{&zero, New(0, scope, "refused")}
+	for range 2 {
+		for _, budget := range budgets {
+			budget.Line(log, "refused")
+		}
+		time.Sleep(time.Until(time.Now().Truncate(time.Second).Add(time.Second)))
+	}
+	for _, budget := range budgets {
+		budget.Line(log, "refused")
+	}
+	require.Equal(t, int64(3), scope.Snapshot().Counters()["linesDropped+kind=refused"].Value())
 }
--- a/internal/objectfile/objectfile.go
+++ b/internal/objectfile/objectfile.go
@@ -108,14 +108,20 @@
 	return result
 }
 
-// location converts a line of the joined text to a file and a line in it.
-func (parser *parser) location(line int) string {
+// file returns the file that a line of the joined text is from.
+func (parser *parser) file(line int) fileStart {
 	file := fileStart{name: "set"}
 	for _, start := range parser.files {
 		if start.line <= line {
 			file = start
 		}
 	}
+	return file
+}
+
+// location converts a line of the joined text to a file and a line in it.
+func (parser *parser) location(line int) string {
+	file := parser.file(line)
 	return fmt.Sprintf("%s:%d", file.name, line-file.line)
 }
 
@@ -124,23 +130,38 @@
 	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s: %s; %s", parser.location(line), subject, message, remedy))
 }
 
-// yamlLine matches the line number in an error message of the YAML library. It counts
-// lines of the joined text.
+// yamlLine matches the line number in an error message of the YAML library. Some
+// messages have none, such as that about a control character.
 var yamlLine = regexp.MustCompile(`^yaml: line (\d+): `)
 
-// reportSyntaxFault adds a fault for text that is not YAML, with its file and line.
-func (parser *parser) reportSyntaxFault(err error) {
-	message, line := err.Error(), 1
+// reportSyntaxFault adds a fault for text that is not YAML, with its file and, if the
+// library states it, its line. firstLine is the line of the joined text at which the
+// library started.
+func (parser *parser) reportSyntaxFault(err error, firstLine int) {
+	message, where := err.Error(), parser.file(firstLine).name
 	if match := yamlLine.FindStringSubmatch(message); match != nil {
-		line, _ = strconv.Atoi(match[1])
-		message = strings.TrimPrefix(message, match[0])
+		line, _ := strconv.Atoi(match[1])
+		message, where = strings.TrimPrefix(message, match[0]), parser.location(firstLine-1+line)
 	}
-	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s; fix the YAML", parser.location(line), message))
+	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s; fix the YAML", where, message))
 }
 
-// readDocuments reads the object of each YAML document, up to the first syntax fault.
+// readDocuments reads the object of each YAML document of each file, so that every
+// syntax fault has its file. Content without file markers is read as a whole.
 func (parser *parser) readDocuments(content []byte) {
-	decoder := yaml.NewDecoder(bytes.NewReader(content))
+	lines := bytes.SplitAfter(content, []byte("\n"))
+	firstLine := 1
+	for _, next := range parser.files {
+		parser.readFile(bytes.Join(lines[firstLine-1:next.line-1], nil), firstLine)
+		firstLine = next.line
+	}
+	parser.readFile(bytes.Join(lines[firstLine-1:], nil), firstLine)
+}
+
+// readFile reads the documents of one file, up to its first syntax fault. firstLine is
+// the line of the joined text at which the file starts.
+func (parser *parser) readFile(text []byte, firstLine int) {
+	decoder := yaml.NewDecoder(bytes.NewReader(text))
 	for {
 		var document yaml.Node
 		err := decoder.Decode(&document)
@@ -148,15 +169,24 @@
 			return
 		}
 		if err != nil {
-			parser.reportSyntaxFault(err)
+			parser.reportSyntaxFault(err, firstLine)
 			return
 		}
 		if len(document.Content) > 0 && document.Content[0].Kind == yaml.MappingNode {
+			shiftLines(document.Content[0], firstLine-1)
 			parser.readObject(document.Content[0])
 		}
 	}
 }
 
+// shiftLines adds a number of lines to the positions of a node and those below it.
+func shiftLines(node *yaml.Node, lines int) {
+	node.Line += lines
+	for _, child := range node.Content {
+		shiftLines(child, lines)
+	}
+}
+
 // readObject reads a group or policy, or stores a route for resolveRoutes.
 func (parser *parser) readObject(node *yaml.Node) {
 	fields := yamlobject.New(node, "object", parser.reportFault)
--- a/internal/objectfile/objectfile_test.go
+++ b/internal/objectfile/objectfile_test.go
@@ -80,3 +80,24 @@
 	_, err := Parse(7, Join([]string{"set.yaml", "broken.yaml"}, [][]byte{[]byte(good), []byte("kind: route\nname: [x\n")}))
 	require.ErrorContains(t, err, "broken.yaml:")
 }
+
+// TestSyntaxFaultsNameTheirFile breaks the second of three files in ways for which the
+// YAML library states no line, and the third in one for which it does.
+func TestSyntaxFaultsNameTheirFile(t *testing.T) {
+	for _, broken := range []string{"name: \xff\n", "name: a\x01b\n", "name: *unknown\n"} {
+		_, err := Parse(1, Join([]string{"first.yaml", "second.yaml", "third.yaml"},
+			[][]byte{[]byte(good), []byte(broken), []byte("kind: route\n  name: a\n")}))
+		require.Error(t, err)
+		faults := strings.Split(ebonywood.FaultOf(err).Message(), "\n")
+		require.Len(t, faults, 2, "%q: %v", broken, faults)
+		require.True(t, strings.HasPrefix(faults[0], "second.yaml: yaml: "), faults[0])
+		require.True(t, strings.HasPrefix(faults[1], "third.yaml:2: "), faults[1])
+	}
+}
+
+// TestLinesCountFromTheirFile puts a fault into the second of two files.
+func TestLinesCountFromTheirFile(t *testing.T) {
+	_, err := Parse(1, Join([]string{"first.yaml", "second.yaml"},
+		[][]byte{[]byte(good), []byte("kind: readPolicy\nname: other\nmaxLag: 1s\n")}))
+	require.ErrorContains(t, err, "second.yaml:3: readPolicy/other: maxLag is an unknown field")
+}
