Forwarding: run nothing that was given up, and say "not run" only when it is true

It now waits for as long as that proxy does. - A read whose first try was lost, and whose next one was refused, was answered BUSY, which says that it has not run. It is answered ABORTED: nothing is kept. - A panic in a call of another proxy other than a forwarded request ended the process, and one in a forwarded request left it counted as active, so a stop waited for its limit. - A forwarded request counted as done before its result was sent, so a stop could cut it off.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -49,6 +49,9 @@
 	ctx context.Context, route *ebonywood.Route, shape uint64, expectedCost time.Duration, hasEstimate bool,
 	deadline, waitUntil time.Time,
 ) (ticket uint64, wait time.Duration, err error) {
+	if ctx.Err() != nil {
+		return 0, 0, ErrTimeout
+	}
 	controller.mutex.Lock()
 	controller.lastTicket++
 	ticket = controller.lastTicket
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -121,10 +121,24 @@
 	edge *Edge
 }
 
-// HandleRPC serves one call or stream.
-func (handler handler) HandleRPC(stream drpc.Stream, rpc string) error {
+// HandleRPC serves one call or stream. A panic ends only that call or stream, whose state
+// belongs to it alone.
+func (handler handler) HandleRPC(stream drpc.Stream, rpc string) (err error) {
+	caught := panics.Try(func() { err = handler.serve(stream, rpc) })
+	if caught != nil {
+		handler.edge.port.Log().Error(caught.AsError(), "work for another proxy failed")
+		return caught.AsError()
+	}
+	return err
+}
+
+func (handler handler) serve(stream drpc.Stream, rpc string) error {
 	switch rpc {
 	case rpcForward:
+		server := &sessionServer{edge: handler.edge, stream: stream}
+		defer server.abandon()
+		server.serve()
+		return nil
 	case rpcFetchChanges:
 		return handler.edge.serveFetchChanges(stream)
 	case rpcPing:
@@ -132,13 +146,6 @@
 	default:
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("no procedure %q", rpc), "upgrade the fleet one version at a time")
 	}
-	server := &sessionServer{edge: handler.edge, stream: stream}
-	// A panic while one session's request runs ends only that session.
-	if caught := panics.Try(server.serve); caught != nil {
-		handler.edge.port.Log().Error(caught.AsError(), "work for another proxy failed")
-	}
-	server.abandon()
-	return nil
 }
 
 // sessionServer serves the forwarded requests of one stream.
@@ -148,6 +155,8 @@
 	// session is the session of the open transaction or the running request; nil
 	// otherwise.
 	session ebonywood.ForwardedSession
+	// active reports that this stream is counted in the edge's activeSessions.
+	active bool
 }
 
 // serve runs requests until the stream ends.
@@ -162,17 +171,28 @@
 	if err := server.stream.MsgRecv(&message, wire); err != nil {
 		return err
 	}
-	if server.session == nil {
-		server.edge.addActive(1)
-	}
+	server.setActive(true)
 	result := server.run(&message)
 	if server.session != nil && server.session.IsIdle() {
 		server.session = nil
 	}
-	if server.session == nil {
+	err := server.stream.MsgSend(encodeResult(result), wire)
+	server.setActive(server.session != nil)
+	return err
+}
+
+// setActive counts this stream among the active ones, or no longer. A draining process
+// waits for those, so a request counts until its result is sent.
+func (server *sessionServer) setActive(active bool) {
+	if server.active == active {
+		return
+	}
+	server.active = active
+	if active {
+		server.edge.addActive(1)
+	} else {
 		server.edge.addActive(-1)
 	}
-	return server.stream.MsgSend(encodeResult(result), wire)
 }
 
 func (server *sessionServer) run(message *forwardMessage) ebonywood.ForwardResult {
@@ -184,7 +204,7 @@
 		if reason := server.edge.refusal(request); reason != "" {
 			return ebonywood.NewForwardRefusal(reason)
 		}
-		server.session = server.edge.port.Sessions().OpenForwarded(request)
+		server.session = server.edge.port.Sessions().OpenForwarded(server.stream.Context(), request)
 	}
 	return server.session.Run(request)
 }
@@ -214,10 +234,10 @@
 
 // abandon rolls back the transaction that the end of the stream left open.
 func (server *sessionServer) abandon() {
+	defer server.setActive(false)
 	if server.session == nil {
 		return
 	}
 	server.session.Close()
 	server.session = nil
-	server.edge.addActive(-1)
 }
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -93,7 +93,7 @@
 			if attempt.writes {
 				return lostWriteReply(err, attempt)
 			}
-			reply = session.lostReadReply(err, attempt)
+			reply = lostReadReply(err, attempt)
 		case result.Refusal() != "":
 			peer.recordRefusal(result.Refusal())
 			reply = failure(ebonywood.CodeBusy, result.Refusal())
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -180,6 +180,7 @@
 		"refusing":             {near: []behaviour{refuses}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"near", "far"}},
 		"none":                 {near: []behaviour{unreachable}, far: []behaviour{unreachable}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeBusy}},
 		"lost read":            {near: []behaviour{losesReply}, statements: []ebonywood.Statement{read}, codes: []ebonywood.Code{ebonywood.CodeDone}, ran: []string{"near", "far"}},
+		"lost read, then none": {near: []behaviour{losesReply}, far: []behaviour{refuses}, statements: []ebonywood.Statement{read}, codes: []ebonywood.Code{ebonywood.CodeAborted}, ran: []string{"near", "far"}},
 		"lost write":           {near: []behaviour{losesReply}, statements: []ebonywood.Statement{write}, codes: []ebonywood.Code{ebonywood.CodeUnknown}, ran: []string{"near"}},
 		"lost first statement": {near: []behaviour{losesReply}, statements: []ebonywood.Statement{begin, write}, codes: []ebonywood.Code{ebonywood.CodeDone, ebonywood.CodeAborted}, state: ebonywood.TxFailed, ran: []string{"near"}},
 		"lost statement": {
--- a/internal/edge/sessions/forwarded.go
+++ b/internal/edge/sessions/forwarded.go
@@ -1,13 +1,18 @@
 package sessions
 
-import "github.com/ebonywood/ebonywood"
+import (
+	"context"
+
+	"github.com/ebonywood/ebonywood"
+)
 
 // This file implements the receiving side of forwarding: the session's caller is connected
 // to another proxy, and the session's state arrives with each request.
 
-// OpenForwarded opens a session for the requests of a session at another proxy.
-func (edge *Edge) OpenForwarded(request ebonywood.ForwardRequest) ebonywood.ForwardedSession {
-	return &forwardedSession{session: &session{edge: edge, database: request.State().Database(), forwarded: true}}
+// OpenForwarded opens a session for the requests of a session at another proxy, which
+// waits for them until ctx ends.
+func (edge *Edge) OpenForwarded(ctx context.Context, request ebonywood.ForwardRequest) ebonywood.ForwardedSession {
+	return &forwardedSession{session: &session{edge: edge, database: request.State().Database(), forwarded: true, awaited: ctx}}
 }
 
 // forwardedSession is the part of another proxy's session that runs here.
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -140,7 +140,7 @@
 	}
 	expected := pool.edge.expectedCost(shape)
 	waitUntil := attempt.waitDeadline(time.Now())
-	ticket, wait, err := pool.admission.Acquire(pool.edge.group.Context(), attempt.route, shape, expected, true, waitUntil.Add(expected), waitUntil)
+	ticket, wait, err := pool.admission.Acquire(attempt.awaited, attempt.route, shape, expected, true, waitUntil.Add(expected), waitUntil)
 	if err != nil {
 		return 0, pool.overloadFault(wait)
 	}
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -38,7 +38,7 @@
 			return noSlotReply(ebonywood.TxIdle), outcomeNoSlot
 		}
 		if err != nil {
-			return session.lostReadReply(err, attempt), outcomeLostRead
+			return lostReadReply(err, attempt), outcomeLostRead
 		}
 		lease.pool.recordDelay(time.Since(startedAt), expected)
 		if replies[0].Code() == ebonywood.CodeDone {
@@ -89,6 +89,7 @@
 		latest, outcome := work(lease)
 		reply = latest
 		if outcome == outcomeFinal && reply.Code() == ebonywood.CodeFailed {
+			attempt.mayHaveRun = true
 			lease.pool.release(lease, false)
 			continue
 		}
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -1,6 +1,7 @@
 package sessions
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"sync"
@@ -44,8 +45,10 @@
 	floor        ebonywood.Position
 	lastCommitAt ebonywood.Millis
 	tx           *transaction
-	// forwarded reports that the session's caller is connected to another proxy.
+	// forwarded reports that the session's caller is connected to another proxy. awaited
+	// ends when that proxy no longer waits for the session's requests; nil otherwise.
 	forwarded bool
+	awaited   context.Context
 }
 
 // preparedStatement is a prepared statement of a session. Its name on connections
@@ -77,10 +80,33 @@
 	// waitShare is the fraction of the route's latency objective that the statement may
 	// wait for a connection.
 	waitShare float64
+	// awaited ends when nobody waits for the reply any more.
+	awaited context.Context
+	// mayHaveRun reports that an earlier try of a read was sent, and that it failed or its
+	// reply was lost.
+	mayHaveRun bool
 }
 
-// remaining returns the time until the statement's deadline.
-func (attempt *attempt) remaining() time.Duration { return time.Until(attempt.deadline) }
+// remaining returns the time until the statement's deadline, or 0 if nobody waits for
+// the reply any more.
+func (attempt *attempt) remaining() time.Duration {
+	if attempt.awaited.Err() != nil {
+		return 0
+	}
+	return time.Until(attempt.deadline)
+}
+
+// settle returns the caller's reply for the last try's reply. A refusal says that the
+// statement was not run, which is not known if an earlier try was sent.
+func (attempt *attempt) settle(reply ebonywood.Reply) ebonywood.Reply {
+	switch reply.Code() {
+	case ebonywood.CodeBusy, ebonywood.CodeLagging, ebonywood.CodeReadOnly, ebonywood.CodeNoStatement:
+		if attempt.mayHaveRun {
+			return failure(ebonywood.CodeAborted, "an earlier try may have run; "+reply.Message())
+		}
+	}
+	return reply
+}
 
 // Handle runs one statement to its end and returns its reply.
 func (session *session) Handle(statement ebonywood.Statement) ebonywood.Reply {
@@ -208,8 +234,13 @@
 		timeout = min(timeout, (drainDeadline - now).Duration())
 	}
 	startedAt := time.Now()
+	awaited := session.awaited
+	if awaited == nil {
+		awaited = session.edge.group.Context()
+	}
 	return &attempt{
-		route: route, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
+		awaited: awaited,
+		route:   route, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
 }
@@ -253,6 +284,7 @@
 	default:
 		reply = session.read(resolved, view, attempt)
 	}
+	reply = attempt.settle(reply)
 	session.edge.account(statement, attempt, reply)
 	return reply.WithState(ebonywood.TxIdle)
 }
@@ -305,7 +337,7 @@
 			return session.endStrictRead(lease)
 		}
 		if err != nil {
-			return session.lostReadReply(err, attempt), outcomeLostRead
+			return lostReadReply(err, attempt), outcomeLostRead
 		}
 		return replies[0], outcomeOf(replies[0])
 	})
@@ -345,7 +377,8 @@
 
 // lostReadReply returns the caller's reply for a read to which no reply arrived:
 // CodeTimeout after the deadline, CodeAborted before, since a read changes nothing.
-func (session *session) lostReadReply(err error, attempt *attempt) ebonywood.Reply {
+func lostReadReply(err error, attempt *attempt) ebonywood.Reply {
+	attempt.mayHaveRun = true
 	if attempt.remaining() <= 0 {
 		return failure(ebonywood.CodeTimeout, "no answer within the route's timeout: "+err.Error())
 	}
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -38,8 +38,7 @@
 	if inTx {
 		waitUntil, deadline = attempt.deadline, attempt.deadline.Add(maxExpectedCost)
 	}
-	ticket, _, err := lease.pool.slots.Acquire(
-		lease.pool.edge.group.Context(), attempt.route, slotShape, expected, true, deadline, waitUntil)
+	ticket, _, err := lease.pool.slots.Acquire(attempt.awaited, attempt.route, slotShape, expected, true, deadline, waitUntil)
 	if err != nil {
 		return nil, errors.CombineErrors(errNoSlot, err)
 	}
--- a/statement.go
+++ b/statement.go
@@ -1,6 +1,9 @@
 package ebonywood
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Verb says what a statement does in the reduced statement language. Front ends
 // whose protocol distinguishes verbs decode into it, so that sessions, pools and
@@ -277,8 +280,9 @@
 // Sessions opens sessions.
 type Sessions interface {
 	// OpenForwarded opens the session in which the requests of another proxy's
-	// session run; request is the first.
-	OpenForwarded(request ForwardRequest) ForwardedSession
+	// session run; request is the first. When ctx ends, the other proxy no longer waits
+	// for them: what has not been sent to a member is then not run.
+	OpenForwarded(ctx context.Context, request ForwardRequest) ForwardedSession
 
 	// Open opens a session with a database. The code is CodeDone, CodeNoDatabase,
 	// or CodeBusy before the first configuration and shortly before this process
