Directory: malformed items end nothing, and a start takes the newest seed's mirror

- A decoder that panics on one item of the store ended the process, and that of every other proxy, again after each restart.
The item is now ignored and logged.
- A proxy that starts while the store refuses it took the mirror of the first seed that answered.
If the store refuses that seed, too, members that left and routes that were removed were in use again.
All seeds are asked at once; the greatest revision is taken.

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc/panics"
+
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -223,7 +225,7 @@
 	if !found {
 		return
 	}
-	set, err := edge.port.Directory().DecodeConfiguration(item)
+	set, err := decodeItem(edge.port.Directory().DecodeConfiguration, item)
 	if err != nil {
 		edge.port.Log().Error(err, "configuration refused", "revision", item.Revision())
 		return
@@ -231,12 +233,23 @@
 	_ = edge.port.Post(ctx, ebonywood.NewObjectSetReceived(set))
 }
 
+// decodeItem decodes an item that another program wrote. A panic is returned as an error:
+// every proxy reads the same items, so one that can't be handled would end all of them,
+// again after each restart. A decoder holds no state that a panic could leave broken.
+func decodeItem[T any](decode func(ebonywood.Item) (T, error), item ebonywood.Item) (value T, err error) {
+	caught := panics.Try(func() { value, err = decode(item) })
+	if caught != nil {
+		return value, caught.AsError()
+	}
+	return value, err
+}
+
 // applyMembers posts the listed members to the control loop. Entries that can't be
 // decoded are logged and skipped.
 func (edge *Edge) applyMembers(ctx context.Context, items map[string]ebonywood.Item, _ int64) {
 	members := make([]ebonywood.ListedMember, 0, len(items))
 	for key, item := range items {
-		entry, err := edge.port.Directory().DecodeMember(item)
+		entry, err := decodeItem(edge.port.Directory().DecodeMember, item)
 		if err != nil {
 			edge.port.Log().Info("member ignored", "key", key, "revision", item.Revision(), "why", err.Error())
 			continue
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
 
 // In a large fleet a few proxies, the watchers, watch the directory, and the others
@@ -155,23 +157,62 @@
 	return revision
 }
 
-// fetchFromSeeds fills an empty mirror from a seed proxy, whatever the age of the
-// seed's mirror. It serves a proxy that starts while the directory does not respond to
-// it.
+// seedPage is the whole mirror of a seed proxy.
+type seedPage struct {
+	seed string
+	page ebonywood.MirrorPage
+}
+
+// isNewerThan reports whether the page reflects a later state of the directory, or the
+// same state more recently.
+func (own seedPage) isNewerThan(other seedPage) bool {
+	if own.page.Revision() != other.page.Revision() {
+		return own.page.Revision() > other.page.Revision()
+	}
+	return own.page.Age() < other.page.Age()
+}
+
+// fetchFromSeeds fills an empty mirror from the seed proxy whose mirror is the most
+// recent one, whatever its age. It serves a proxy that starts while the directory does
+// not respond to it. A seed that the directory refuses, too, may still list members that
+// have left and routes that were removed, so the first seed to respond is not enough.
 func (mirror *mirror) fetchFromSeeds(ctx context.Context) {
-	relay := mirror.edge.port.Relay()
-	if relay == nil || len(mirror.items) > 0 {
+	if mirror.edge.port.Relay() == nil || len(mirror.items) > 0 {
 		return
 	}
-	for _, seed := range mirror.edge.port.Settings().Seeds() {
-		callCtx, cancel := context.WithTimeout(ctx, seedTimeout)
-		page, err := relay.FetchChanges(callCtx, seed, ebonywood.Cursor{}, 0)
-		cancel()
-		if err != nil || len(page.Items()) == 0 {
-			continue
-		}
-		mirror.edge.port.Log().Info("seeded", "seed", seed, "items", len(page.Items()), "ageMs", int64(page.Age()))
-		mirror.applyPage(ctx, page)
+	pages := mirror.fetchSeedPages(ctx, mirror.edge.port.Settings().Seeds())
+	if len(pages) == 0 {
 		return
 	}
+	newest := pages[0]
+	for _, candidate := range pages[1:] {
+		if candidate.isNewerThan(newest) {
+			newest = candidate
+		}
+	}
+	mirror.edge.port.Log().Info("seeded", "seed", newest.seed, "items", len(newest.page.Items()), "ageMs", int64(newest.page.Age()))
+	mirror.applyPage(ctx, newest.page)
+}
+
+// fetchSeedPages requests the mirrors of all seeds at the same time, and returns those
+// that hold any items.
+func (mirror *mirror) fetchSeedPages(ctx context.Context, seeds []string) (pages []seedPage) {
+	var group rungroup.Group
+	var mutex sync.Mutex
+	for _, seed := range seeds {
+		group.Go(func(context.Context) error {
+			callCtx, cancel := context.WithTimeout(ctx, seedTimeout)
+			defer cancel()
+			page, err := mirror.edge.port.Relay().FetchChanges(callCtx, seed, ebonywood.Cursor{}, 0)
+			if err != nil || len(page.Items()) == 0 {
+				return nil
+			}
+			mutex.Lock()
+			defer mutex.Unlock()
+			pages = append(pages, seedPage{seed: seed, page: page})
+			return nil
+		})
+	}
+	_ = group.Wait()
+	return pages
 }
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -299,7 +299,7 @@
 	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) || mirror.edge.timeSinceRecovery() > expiredRetention {
 		return false
 	}
-	entry, err := mirror.edge.port.Directory().DecodeMember(item)
+	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
 	return err == nil && !entry.Member().IsLeaving()
 }
 
