Directory: a large fleet starts, rests, and meets an outage with far fewer calls

They claim at random times in a window that grows with those that compete, watchers first, and not before they know the others: after their start and after the return of the store. - Each report was written twice at the start, since the list that was under way lacked it. Its revision now tells whether it was deleted. - Followers that had just watched by themselves were ahead of their watcher, rejected it, and watched for 3 s more.

Ruled out: a time to live by the size of the fleet (not known when the lease is granted).

--- a/directory.go
+++ b/directory.go
@@ -54,7 +54,7 @@
 	// new revision. A fault of KindConflict means that the revision differs.
 	Replace(ctx context.Context, key string, value []byte, lease LeaseID, revision int64) (newRevision int64, err error)
 	// Put writes a key unconditionally.
-	Put(ctx context.Context, key string, value []byte, lease LeaseID) error
+	Put(ctx context.Context, key string, value []byte, lease LeaseID) (revision int64, err error)
 	// Grant creates a lease with a time to live, which the store may raise to its
 	// minimum.
 	Grant(ctx context.Context, ttl Millis) (LeaseID, error)
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -50,13 +50,14 @@
 	// keeperMaxDoublings times.
 	retryDelay         = 100 * time.Millisecond
 	mirrorMaxDoublings = 3
-	keeperMaxDoublings = 2
-	// A proxy waits a random time before it claims a free duty. The upper bound of
-	// that time grows by dutyJitterPerProxy with each proxy, within minDutyJitter and
-	// maxDutyJitter.
-	minDutyJitter      = 100 * time.Millisecond
-	dutyJitterPerProxy = 4 * time.Millisecond
-	maxDutyJitter      = 400 * time.Millisecond
+	keeperMaxDoublings = 3
+	// Proxies claim a free duty at random times within claimWindowPerProxy for each of
+	// them, at least within minClaimWindow.
+	minClaimWindow      = 100 * time.Millisecond
+	claimWindowPerProxy = 40 * time.Millisecond
+	// largeFleet is the number of proxies from which on those that are no watchers call the
+	// directory less often while it fails.
+	largeFleet = 64
 )
 
 var _ ebonywood.Mirror = (*Edge)(nil)
@@ -82,10 +83,16 @@
 	lastResponseAt time.Time
 	suspects       []ebonywood.MemberID
 	leaving        bool
-	// nodeWritten is set while the node key in the directory is up to date.
-	nodeWritten bool
-	// duty is the duty key as last applied; its revision is 0 while the duty is free.
+	// nodeWritten is set while the node key in the directory is up to date; nodeRevision is
+	// that of its last write.
+	nodeWritten  bool
+	nodeRevision int64
+	// mostReports is the greatest number of proxies that the directory has listed.
+	mostReports int
+	// duty is the duty key as last applied, if dutyKnown is set; its revision is 0 while
+	// the duty is free.
 	duty           ebonywood.Item
+	dutyKnown      bool
 	holdsDuty      bool
 	renewRequested bool
 }
@@ -160,6 +167,14 @@
 	return true
 }
 
+// sleep waits for a time or until ctx ends.
+func (edge *Edge) sleep(ctx context.Context, duration time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(duration):
+	}
+}
+
 func (edge *Edge) limits() ebonywood.Limits { return edge.port.Settings().Limits() }
 
 func (edge *Edge) wakeKeeper() {
@@ -191,6 +206,7 @@
 		case edge.recovered <- struct{}{}:
 		default:
 		}
+		edge.wakeKeeper()
 	}
 	edge.mutex.Unlock()
 	if !changed {
@@ -278,9 +294,12 @@
 	slices.SortFunc(reports, func(left, right ebonywood.ProxyReport) int {
 		return strings.Compare(left.Name(), right.Name())
 	})
+	edge.mutex.Lock()
+	edge.mostReports = max(edge.mostReports, len(reports))
+	edge.mutex.Unlock()
 	_ = edge.port.Post(ctx, ebonywood.NewProxyReportsListed(reports))
 	edge.applyDuty(ctx, items[dutyKey], revision)
-	edge.checkNodeKey(items)
+	edge.checkNodeKey(items, revision)
 }
 
 // applyDuty updates whether this process holds the duty from the duty key as of a
@@ -297,7 +316,7 @@
 	held := item.Revision() > 0 && json.Unmarshal(item.Value(), &value) == nil && value.Nonce == edge.nonce
 	edge.mutex.Lock()
 	changed := held != edge.holdsDuty || held && item.Revision() != edge.duty.Revision()
-	edge.holdsDuty, edge.duty = held, item
+	edge.holdsDuty, edge.duty, edge.dutyKnown = held, item, true
 	edge.mutex.Unlock()
 	edge.wakeKeeper()
 	if changed {
@@ -305,15 +324,24 @@
 	}
 }
 
-// checkNodeKey schedules a rewrite of this proxy's node key if it has been deleted.
-func (edge *Edge) checkNodeKey(items map[string]ebonywood.Item) {
+// isDutyFree reports whether no proxy holds the duty. The mutex is held.
+func (edge *Edge) isDutyFree() bool { return edge.dutyKnown && edge.duty.Revision() == 0 }
+
+// checkNodeKey schedules a rewrite of this proxy's node key if it has been deleted by a
+// directory revision. A mirror of before the last write does not hold the key yet.
+func (edge *Edge) checkNodeKey(items map[string]ebonywood.Item, revision int64) {
 	if _, found := items[edge.nodeKey()]; found {
 		return
 	}
 	edge.mutex.Lock()
-	edge.nodeWritten = false
+	deleted := edge.nodeWritten && edge.nodeRevision > 0 && revision >= edge.nodeRevision
+	if deleted {
+		edge.nodeWritten = false
+	}
 	edge.mutex.Unlock()
-	edge.wakeKeeper()
+	if deleted {
+		edge.wakeKeeper()
+	}
 }
 
 func (edge *Edge) nodeKey() string { return nodePrefix + edge.port.Settings().Name() }
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -248,7 +248,7 @@
 
 // TestOutdatedMirrorDoesNotRevokeClaim checks that a mirror without the claim to the
 // duty does not revoke it: neither this process's own mirror nor that of another proxy,
-// which is rejected.
+// which is rejected if it stays behind.
 func TestOutdatedMirrorDoesNotRevokeClaim(t *testing.T) {
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
 		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, nil, 10).WithRevision(49), nil
@@ -260,6 +260,13 @@
 	edge.applyProxyKeys(t.Context(), nil, 49)
 	require.True(t, edge.holdsDuty, "the mirror is behind")
 	mirror.items, mirror.revision = map[string]ebonywood.Item{dutyKey: ebonywood.NewItem(dutyKey, edge.claimValue(), 50)}, 50
+	for range maxBehindTries {
+		mirror.followPeer(t.Context(), far)
+		require.Contains(t, mirror.items, dutyKey)
+		require.True(t, edge.holdsDuty)
+		_, found := mirror.upstream()
+		require.True(t, found, "it may be behind for a moment")
+	}
 	mirror.followPeer(t.Context(), far)
 	require.Contains(t, mirror.items, dutyKey)
 	require.True(t, edge.holdsDuty)
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -30,6 +30,14 @@
 	// that watcher again.
 	directWatchPeriod ebonywood.Millis = 3000
 	watcherRetryDelay ebonywood.Millis = 6000
+	// watcherRecoveryTime is how long after the directory's recovery a watcher may still be
+	// in its backoff, with a stale mirror.
+	watcherRecoveryTime = time.Second
+	// maxBehindTries is how often a follower asks a watcher whose mirror is behind its own
+	// again, after maxWatchDelay each, before it rejects it. A watcher waits that long
+	// between two watches, so a follower that has just watched the directory itself is
+	// often ahead.
+	maxBehindTries = 3
 	// seedTimeout bounds the request to a seed.
 	seedTimeout = 500 * time.Millisecond
 )
@@ -91,16 +99,25 @@
 	switch {
 	case err != nil:
 		reason = err.Error()
+	case page.Age() > maxMirrorAge && edge.timeSinceRecovery() < watcherRecoveryTime:
+		edge.sleep(ctx, maxWatchDelay)
+		return
 	case page.Age() > maxMirrorAge:
 		reason = "its mirror is stale"
-	case page.Revision() < mirror.revision:
+	case page.Revision() >= mirror.revision:
+		mirror.behindTries = 0
+		mirror.applyPage(ctx, page)
+		return
+	case mirror.behindTries < maxBehindTries:
 		// An older mirror must not revert newer state here, such as this process's own
 		// claim to the duty.
-		reason = "its mirror is behind"
-	default:
-		mirror.applyPage(ctx, page)
+		mirror.behindTries++
+		edge.sleep(ctx, maxWatchDelay)
 		return
+	default:
+		reason = "its mirror is behind"
 	}
+	mirror.behindTries = 0
 	edge.port.Log().Info("unfollowed", "peer", peer.Name(), "why", reason, "ageMs", int64(page.Age()))
 	now := edge.port.Clock().Now()
 	mirror.directUntil = now + directWatchPeriod
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -12,7 +12,7 @@
 // runKeeper maintains the leases and this proxy's node key, and claims the duty when
 // it is free, until ctx ends. Then it revokes the leases.
 func (edge *Edge) runKeeper(ctx context.Context) error {
-	keeper := &keeper{edge: edge}
+	keeper := &keeper{edge: edge, nodeLease: lease{renewals: reportRenewals}, dutyLease: lease{renewals: dutyRenewals}}
 	defer keeper.releaseLeases()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
@@ -42,6 +42,10 @@
 	// dutyLease is shorter, since no other proxy can promote before it expires.
 	nodeLease, dutyLease lease
 	failures             int
+	// claimAt is when to claim the duty, which is free; zero while it is not. Before
+	// isClaimDrawn is set, it is when the delay of the claim starts.
+	claimAt      time.Time
+	isClaimDrawn bool
 }
 
 // nextDelay returns the time until the next lease renewal, or the backoff delay if err
@@ -57,6 +61,9 @@
 	if keeper.dutyLease.id != 0 {
 		delay = min(delay, keeper.dutyLease.renewalInterval()-time.Since(keeper.dutyLease.renewedAt))
 	}
+	if !keeper.claimAt.IsZero() {
+		delay = min(delay, time.Until(keeper.claimAt))
+	}
 	return max(delay, 0)
 }
 
@@ -68,15 +75,18 @@
 		return called, err
 	}
 	edge.mutex.Lock()
-	written, renew, held, free := edge.nodeWritten, edge.renewRequested, edge.holdsDuty, edge.duty.Revision() == 0
+	written, renew, held, free := edge.nodeWritten, edge.renewRequested, edge.holdsDuty, edge.isDutyFree()
 	edge.mutex.Unlock()
 	if !written {
 		if err := keeper.writeNodeKey(ctx); err != nil {
 			return true, err
 		}
 	}
+	if !free {
+		keeper.resetClaim()
+	}
 	switch {
-	case free:
+	case free && keeper.isClaimDue():
 		return true, keeper.claimDuty(ctx)
 	case held && renew:
 		return true, keeper.renewToken(ctx)
@@ -126,12 +136,14 @@
 	}
 	edge.nodeWritten = true
 	edge.mutex.Unlock()
-	err := edge.port.Directory().Put(callCtx, edge.nodeKey(), encodeJSON(value), keeper.nodeLease.id)
-	if err != nil {
-		edge.mutex.Lock()
+	revision, err := edge.port.Directory().Put(callCtx, edge.nodeKey(), encodeJSON(value), keeper.nodeLease.id)
+	edge.mutex.Lock()
+	if err == nil {
+		edge.nodeRevision = revision
+	} else {
 		edge.nodeWritten = false
-		edge.mutex.Unlock()
 	}
+	edge.mutex.Unlock()
 	return edge.clearEndedLease(&keeper.nodeLease, err)
 }
 
@@ -145,22 +157,41 @@
 	return err
 }
 
-// claimDuty tries to claim the free duty after a random delay. A success is applied
-// immediately, since the directory may become unavailable before the mirror receives
-// the change. After a conflict, the mirror receives the change of the actual holder.
-func (keeper *keeper) claimDuty(ctx context.Context) error {
-	edge := keeper.edge
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-time.After(rand.N(edge.dutyJitter())):
+// isClaimDue reports whether this process has to claim the free duty now. The first call
+// since the duty became free starts the delay, but not before unsettledFor has passed.
+func (keeper *keeper) isClaimDue() bool {
+	now := time.Now()
+	if unsettled := keeper.edge.unsettledFor(); unsettled > 0 {
+		keeper.claimAt = now.Add(unsettled)
+		return false
+	}
+	if !keeper.isClaimDrawn {
+		keeper.claimAt, keeper.isClaimDrawn = now.Add(keeper.edge.claimDelay()), true
 	}
+	return !now.Before(keeper.claimAt)
+}
+
+// unsettledFor returns how long this proxy still has to wait until it knows the others
+// well enough to tell whether it is a watcher: for startPeriod after its start and, in a
+// large fleet, after the return of a directory that let all reports expire.
+func (edge *Edge) unsettledFor() time.Duration {
+	unsettled := (startPeriod - edge.port.Clock().Now()).Duration()
 	edge.mutex.Lock()
-	free := edge.duty.Revision() == 0
-	edge.mutex.Unlock()
-	if !free {
-		return nil
+	defer edge.mutex.Unlock()
+	if edge.mostReports >= largeFleet {
+		unsettled = max(unsettled, startPeriod.Duration()-time.Since(edge.recoveredAt))
 	}
+	return max(0, unsettled)
+}
+
+func (keeper *keeper) resetClaim() { keeper.claimAt, keeper.isClaimDrawn = time.Time{}, false }
+
+// claimDuty tries to claim the free duty. A success is applied immediately, since the
+// directory may become unavailable before the mirror receives the change. After a
+// conflict, the mirror receives the change of the actual holder.
+func (keeper *keeper) claimDuty(ctx context.Context) error {
+	edge := keeper.edge
+	keeper.resetClaim()
 	if keeper.dutyLease.isDue() {
 		if _, err := keeper.dutyLease.renewOrGrant(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitDutyTTL)); err != nil {
 			return err
@@ -184,14 +215,26 @@
 // duty.
 func (keeper *keeper) releaseDuty() error {
 	err := keeper.dutyLease.revoke(keeper.edge.port.Directory())
-	keeper.dutyLease = lease{}
+	keeper.dutyLease = lease{renewals: dutyRenewals}
 	return err
 }
 
-// dutyJitter returns the upper bound of the random delay before a claim. It is long
-// enough for most proxies to receive another proxy's claim before they try their own.
-func (edge *Edge) dutyJitter() time.Duration {
-	return max(minDutyJitter, min(maxDutyJitter, time.Duration(edge.port.Snapshot().ReportCount())*dutyJitterPerProxy))
+// claimDelay returns the time to wait before a claim of the free duty. It is random and
+// grows with the number of proxies that compete, so that few claim before they receive
+// the first claim, which itself is hardly later. The proxies that watch the directory
+// come before the others.
+func (edge *Edge) claimDelay() time.Duration {
+	snapshot := edge.port.Snapshot()
+	watchers := snapshot.Owners().Watchers()
+	if snapshot.Owners().IsWatcher() {
+		return rand.N(claimWindow(len(watchers)))
+	}
+	return claimWindow(len(watchers)) + rand.N(claimWindow(snapshot.ReportCount()))
+}
+
+// claimWindow returns the time in which a number of proxies claim the duty.
+func claimWindow(proxies int) time.Duration {
+	return max(minClaimWindow, time.Duration(proxies)*claimWindowPerProxy)
 }
 
 // renewToken rewrites the duty key to obtain a higher revision as the fencing token. A
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -25,9 +25,16 @@
 	listRetryDelay       = 300 * time.Millisecond
 	maxListAttempts      = 4
 	// Between two watches the mirror waits watchDelayPerProxy for each proxy that
-	// reports, at most maxWatchDelay.
-	watchDelayPerProxy = time.Millisecond
-	maxWatchDelay      = 100 * time.Millisecond
+	// reports, at most maxWatchDelay, and maxWatchDelay while all proxies may be starting,
+	// for startPeriod.
+	watchDelayPerProxy                  = time.Millisecond
+	maxWatchDelay                       = 250 * time.Millisecond
+	startPeriod        ebonywood.Millis = 800
+	// ownersTimeout bounds the wait for the owners that follow from the first list.
+	ownersTimeout = 200 * time.Millisecond
+	// A proxy of a large fleet that is no watcher backs off for followerRetryDelay first,
+	// doubled once: its calls help nobody else, and it can follow a watcher meanwhile.
+	followerRetryDelay = 1600 * time.Millisecond
 	// watchTimeoutMargin is added to the wait of a watch for the transfer of the
 	// response.
 	watchTimeoutMargin = 600 * time.Millisecond
@@ -56,7 +63,9 @@
 	upstreamAddress string
 	directUntil     ebonywood.Millis
 	cursor          ebonywood.Cursor
-	rejectedUntil   map[string]ebonywood.Millis
+	// behindTries is the number of consecutive pages of the watcher that were behind.
+	behindTries   int
+	rejectedUntil map[string]ebonywood.Millis
 }
 
 // prefixHandler receives all items under a prefix whenever one of them changes.
@@ -127,32 +136,42 @@
 	}
 }
 
-// initialize lists all keys and reports whether it succeeded. After a failure it tries
-// the seeds and backs off.
+// initialize lists all keys and reports whether it succeeded. It then waits until the
+// owners of that list are known, which say whom to follow. After a failure it tries the
+// seeds and backs off.
 func (mirror *mirror) initialize(ctx context.Context) bool {
-	err := mirror.relist(ctx)
-	if err != nil {
+	if err := mirror.relist(ctx); err != nil {
 		mirror.directUntil = 0
 		mirror.fetchFromSeeds(ctx)
 		mirror.backOff(ctx)
+		return false
 	}
-	return err == nil
+	ownersCtx, cancel := context.WithTimeout(ctx, ownersTimeout)
+	defer cancel()
+	_, _ = mirror.edge.port.Await(ownersCtx, func(snapshot *ebonywood.Snapshot) bool {
+		return len(snapshot.Owners().Watchers()) > 0
+	})
+	return true
 }
 
 // delayWatch waits before the next watch. Otherwise, many proxies that write their
 // reports at the same time would each end one watch of every watching proxy.
 func (mirror *mirror) delayWatch(ctx context.Context) {
 	delay := time.Duration(mirror.edge.port.Snapshot().ReportCount()) * watchDelayPerProxy
-	select {
-	case <-ctx.Done():
-	case <-time.After(min(delay, maxWatchDelay)):
+	if delay > maxWatchDelay || mirror.edge.port.Clock().Now() < startPeriod {
+		delay = maxWatchDelay
 	}
+	mirror.edge.sleep(ctx, delay)
 }
 
 // backOff waits before the next call, longer after each failure. The wait ends early
 // when the directory becomes available again.
 func (mirror *mirror) backOff(ctx context.Context) {
 	delay := retryDelay << min(mirror.failures, mirrorMaxDoublings)
+	snapshot := mirror.edge.port.Snapshot()
+	if snapshot.ReportCount() >= largeFleet && !snapshot.Owners().IsWatcher() {
+		delay = followerRetryDelay << min(mirror.failures, 1)
+	}
 	mirror.failures++
 	select {
 	case <-ctx.Done():
@@ -258,6 +277,11 @@
 	if err != nil {
 		return err
 	}
+	if mirror.failures > 0 {
+		// The directory is back, and so are the watchers that were stale without it.
+		mirror.directUntil = 0
+		clear(mirror.rejectedUntil)
+	}
 	mirror.revision, mirror.failures = max(mirror.revision, revision), 0
 	for _, change := range changes {
 		mirror.applyChange(change)
--- a/limits.go
+++ b/limits.go
@@ -79,7 +79,7 @@
 		{LimitConfirmLoss, "confirmLoss", LimitDuration, 100, 0, 10_000, "how long a primary has to be unreachable for the duty's holder, in addition to a majority of reports"},
 		{LimitConfirmLossAlone, "confirmLossAlone", LimitDuration, 1_500, 100, 60_000, "the same while the store is unavailable and there are no reports"},
 		{LimitDutyTTL, "dutyTTL", LimitDuration, 1_200, 300, 60_000, "time to live of the lease of the duty to promote"},
-		{LimitReportTTL, "reportTTL", LimitDuration, 2_400, 300, 60_000, "time to live of the lease of a proxy's report"},
+		{LimitReportTTL, "reportTTL", LimitDuration, 3_600, 300, 60_000, "time to live of the lease of a proxy's report"},
 		{LimitWatchWait, "watchWait", LimitDuration, 1_600, 100, 30_000, "how long a watch of the store waits; a change may go unnoticed for that long if the response with it is lost"},
 		{LimitRequestLinesPerSecond, "requestLinesPerSecond", LimitCount, 20, 0, 10_000, "log lines about single requests, and as many about refused callers, per second"},
 	}
