Sessions: open the kept connections at once after a start

A pool without connections admitted one request at a time, which then opened one, so the wait was predicted from one connection for all callers. Up to the share that is kept when idle, requests now open connections beside each other; beyond it still one at a time, since opening takes a slot of the member.

--- a/internal/edge/sessions/forwarded_test.go
+++ b/internal/edge/sessions/forwarded_test.go
@@ -82,6 +82,18 @@
 	return serving
 }
 
+// setObjective gives the route a latency objective.
+func (port servingPort) setObjective(latency ebonywood.Millis) {
+	policy := ebonywood.NewReadPolicy("p", 1000, ebonywood.StalePrimary)
+	route := ebonywood.NewRoute("r", "", "shop", []ebonywood.InstanceID{db}, policy, 1000, 1, false, false, ebonywood.NewObjective(0.99, latency))
+	draft := ebonywood.NewDraft()
+	draft.SetObjectSet(ebonywood.NewObjectSet(3, "", nil, port.snapshot.ObjectSet().Instances(), []*ebonywood.Route{route}))
+	draft.SetOwners(port.snapshot.Owners())
+	view, _ := port.snapshot.View(db)
+	draft.AddView(view)
+	port.snapshot = draft.Publish()
+}
+
 func forwardedWrite(id string) ebonywood.ForwardRequest {
 	state := ebonywood.NewSessionState("shop", 3, nil, ebonywood.Position{}, 0)
 	return ebonywood.NewForwardRequest(state, ebonywood.NewStatement(id, ebonywood.VerbWrite, "WRITE a "+id, "", ""), "")
@@ -93,7 +105,7 @@
 func TestAbandonedRequestIsNotRun(t *testing.T) {
 	port := newServingPort()
 	edge := New(port)
-	edge.pool(db, ebonywood.NewMember("m0", "a", "m0", 1, 10, false)).trim(10, 10, minSlots)
+	edge.pool(db, ebonywood.NewMember("m0", "a", "m0", 1, 10, false)).trim(shareConnections(131, 10), minSlots)
 	var group sync.WaitGroup
 	run := func(ctx context.Context, id string) {
 		group.Go(func() { edge.OpenForwarded(ctx, forwardedWrite(id)).Run(forwardedWrite(id)) })
--- a/internal/edge/sessions/maintenance.go
+++ b/internal/edge/sessions/maintenance.go
@@ -84,9 +84,9 @@
 		connections = defaultConnections
 	}
 	proxies := edge.proxyCount(snapshot, view.ID())
-	keepOpen, maxOpen := connectionShare(connections, proxies)
+	share := shareConnections(connections, proxies)
 	for _, member := range view.Members() {
-		edge.pool(view.ID(), member.Member()).trim(keepOpen, maxOpen, edge.slotShare(member.Member(), proxies))
+		edge.pool(view.ID(), member.Member()).trim(share, edge.slotShare(member.Member(), proxies))
 	}
 }
 
@@ -124,14 +124,25 @@
 	return count
 }
 
-// connectionShare returns how many connections to one member this process keeps open
-// when they are idle, and how many it may open. Callers are spread unevenly over the
-// proxies, so each proxy keeps only half of an equal share and the rest is opened where
-// it is needed. The sum of the shares may exceed the member's connections; a member
+// connectionShare is this process's share of the connections to one member.
+type connectionShare struct {
+	// keepOpen is how many are kept open when they are idle, maxOpen how many may be open.
+	keepOpen, maxOpen int
+	// openAtOnce is up to how many may be opened at the same time.
+	openAtOnce int
+}
+
+// shareConnections divides the connections to a member. Callers are spread unevenly over
+// the proxies, so each proxy keeps only half of an equal share and the rest is opened
+// where it is needed. The sum of the shares may exceed the member's connections; a member
 // that has none left refuses further ones.
-func connectionShare(connections, proxies int) (keepOpen, maxOpen int) {
+func shareConnections(connections, proxies int) connectionShare {
 	equal := (connections - reservedConnections) / max(1, proxies)
-	return max(1, equal/2), max(minConnections, equal+extraConnections, connections/3)
+	keepOpen := max(1, equal/2)
+	return connectionShare{
+		keepOpen: keepOpen, maxOpen: max(minConnections, equal+extraConnections, connections/3),
+		openAtOnce: max(keepOpen, min(equal, minSlots)),
+	}
 }
 
 // dropUnlisted closes and removes the pools of members that no instance lists any more.
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -69,7 +69,7 @@
 	// open counts all connections, including the dialing ones that are being opened.
 	open    int
 	dialing int
-	maxOpen int
+	share   connectionShare
 	closed  bool
 	// unreachable reports that new connections to the member fail.
 	unreachable bool
@@ -91,7 +91,7 @@
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
 		edge: edge, instance: instance, member: member,
-		admission: admission.New(1), slots: admission.New(minSlots), maxOpen: minConnections,
+		admission: admission.New(1), slots: admission.New(minSlots), share: connectionShare{maxOpen: minConnections},
 		interruptible: map[*pooledConn]struct{}{},
 	}
 }
@@ -215,16 +215,17 @@
 }
 
 // resize sets the admission limit to the established connections plus one that may be
-// opened, and at most to maxOpen. Requests open no more than one at a time, since opening
-// a connection occupies a slot of the member. While the member has no connection left,
-// none is opened. The mutex is held.
+// opened, and at most to the share's maxOpen. Beyond openAtOnce, requests open no more
+// than one at a time, since opening a connection occupies a slot of the member. Up to
+// there they open as many as they need: after a start all callers come at once. While the
+// member has no connection left, none is opened. The mutex is held.
 func (pool *pool) resize() {
 	established := pool.open - pool.dialing
 	if pool.edge.now() < pool.fullUntil {
 		pool.admission.Resize(max(1, established))
 		return
 	}
-	pool.admission.Resize(min(pool.maxOpen, established+1))
+	pool.admission.Resize(min(pool.share.maxOpen, max(established+1, pool.share.openAtOnce)))
 }
 
 // release ends a lease and records its cost. A broken connection is closed and the
@@ -255,16 +256,16 @@
 }
 
 // trim applies this process's share of the member's connections and slots. Connections
-// above keepOpen are closed once they exceed the idle limit.
-func (pool *pool) trim(keepOpen, maxOpen, slots int) {
+// above the share's keepOpen are closed once they exceed the idle limit.
+func (pool *pool) trim(share connectionShare, slots int) {
 	pool.slots.Resize(slots)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
 	maxIdle := pool.edge.limits.Millis(ebonywood.LimitIdleConnection)
-	pool.maxOpen = maxOpen
+	pool.share = share
 	pool.resize()
-	for len(pool.idle) > 0 && pool.open > keepOpen && now-pool.idle[0].lastUsedAt > maxIdle {
+	for len(pool.idle) > 0 && pool.open > share.keepOpen && now-pool.idle[0].lastUsedAt > maxIdle {
 		pool.idle[0].memberConn.Close()
 		pool.idle = pool.idle[1:]
 		pool.open--
