Sessions: refuse an unknown database only with a current configuration

Each response of the store or a watcher now posts, behind its changes, the time as of which it is complete: when the request was sent, or the end of its wait if nothing changed.

--- a/directory.go
+++ b/directory.go
@@ -177,6 +177,22 @@
 
 func (DutyChanged) isEvent() {}
 
+// ConfigurationConfirmed reports that every change of the configuration that the
+// directory had accepted by a time was posted before this event.
+type ConfigurationConfirmed struct {
+	asOf Millis
+}
+
+// NewConfigurationConfirmed returns the event.
+func NewConfigurationConfirmed(asOf Millis) ConfigurationConfirmed {
+	return ConfigurationConfirmed{asOf: asOf}
+}
+
+// AsOf returns the time, on the clock of this process.
+func (event ConfigurationConfirmed) AsOf() Millis { return event.asOf }
+
+func (ConfigurationConfirmed) isEvent() {}
+
 // DirectoryReachabilityChanged reports whether the directory responds to this
 // process.
 type DirectoryReachabilityChanged struct {
--- a/internal/decision/objectset/objectset.go
+++ b/internal/decision/objectset/objectset.go
@@ -21,10 +21,16 @@
 // ObjectSet is the decision that selects the set in force. The zero value has none.
 type ObjectSet struct {
 	current *ebonywood.ObjectSet
+	// asOf is a time by which no newer set had been accepted.
+	asOf ebonywood.Millis
 }
 
 // Handle puts a received set in force if it is newer than the current one.
 func (decision *ObjectSet) Handle(_ ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
+	if confirmed, ok := event.(ebonywood.ConfigurationConfirmed); ok {
+		decision.asOf = max(decision.asOf, confirmed.AsOf())
+		return nil
+	}
 	received, ok := event.(ebonywood.ObjectSetReceived)
 	if !ok || !decision.isNewer(received.ObjectSet()) {
 		return nil
@@ -40,4 +46,5 @@
 // Contribute adds the set in force to the snapshot; nil before the first one.
 func (decision *ObjectSet) Contribute(draft *ebonywood.Draft) {
 	draft.SetObjectSet(decision.current)
+	draft.SetObjectSetAsOf(decision.asOf)
 }
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -89,6 +89,7 @@
 		edge.port.Log().Info("following", "peer", peer.Name(), "zone", peer.Zone())
 		mirror.upstreamAddress, mirror.cursor = peer.Address(), ebonywood.Cursor{}.WithRevision(mirror.newestRevision())
 	}
+	sentAt := edge.port.Clock().Now()
 	callCtx, cancel := context.WithTimeout(ctx, followWait.Duration()+followTimeoutMargin)
 	defer cancel()
 	page, err := edge.port.Relay().FetchChanges(callCtx, peer.Address(), mirror.cursor, followWait)
@@ -107,6 +108,7 @@
 	case page.Revision() >= mirror.revision:
 		mirror.behindTries = 0
 		mirror.applyPage(ctx, page)
+		mirror.confirm(ctx, mirror.confirmedAsOf(sentAt, followWait, len(page.Items()))-page.Age())
 		return
 	case mirror.behindTries < maxBehindTries:
 		// An older mirror must not revert newer state here, such as this process's own
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -253,11 +253,31 @@
 		}
 	}
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
-	mirror.edge.feed.update(items, mirror.edge.port.Clock().Now()-ebonywood.MillisOf(time.Since(start)), revision)
+	startedAt := mirror.edge.port.Clock().Now() - ebonywood.MillisOf(time.Since(start))
+	mirror.edge.feed.update(items, startedAt, revision)
 	mirror.dispatch(ctx, func(string) bool { return true })
+	mirror.confirm(ctx, startedAt)
 	return nil
 }
 
+// confirm reports to the control loop that the events posted so far hold every change
+// that the directory had accepted by a time. Like the changes, it waits in the loop's
+// queue, so that the snapshot never claims more than is in force.
+func (mirror *mirror) confirm(ctx context.Context, asOf ebonywood.Millis) {
+	_ = mirror.edge.port.Post(ctx, ebonywood.NewConfigurationConfirmed(asOf))
+}
+
+// confirmedAsOf returns the time as of which a response that has just been read holds
+// every change. The request was sent at sentAt and could wait for changes for wait. If
+// there were none, the other side waited for as long. The time at which the response was
+// read says nothing, since this process may have been late to do so.
+func (mirror *mirror) confirmedAsOf(sentAt, wait ebonywood.Millis, changes int) ebonywood.Millis {
+	if changes > 0 || mirror.edge.port.Clock().Now()-sentAt < wait {
+		return sentAt
+	}
+	return sentAt + wait
+}
+
 // pollChanges waits for the next changes in the directory and applies them.
 func (mirror *mirror) pollChanges(ctx context.Context) error {
 	// A watch may get no response although there are changes, so its wait is well below
@@ -266,7 +286,7 @@
 	if len(mirror.expired) > 0 {
 		wait = expiredWatchWait
 	}
-	start := time.Now()
+	start, sentAt := time.Now(), mirror.edge.port.Clock().Now()
 	callCtx, cancel := context.WithTimeout(ctx, wait.Duration()+watchTimeoutMargin)
 	defer cancel()
 	changes, revision, err := mirror.edge.port.Directory().Changes(callCtx, allKeys, mirror.revision, wait)
@@ -291,6 +311,7 @@
 	mirror.dispatch(ctx, func(prefix string) bool {
 		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || mirror.affects(changes, prefix)
 	})
+	mirror.confirm(ctx, mirror.confirmedAsOf(sentAt, wait, len(changes)))
 	return nil
 }
 
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -167,3 +168,41 @@
 	edge.applyConfiguration(t.Context(), map[string]ebonywood.Item{"configuration": ebonywood.NewItem("configuration", nil, 3)}, 3)
 	require.IsType(t, ebonywood.MembersListed{}, posted, "the previous configuration stays in force")
 }
+
+// TestConfirmationsAreNeverTooLate checks the time as of which a watch confirms the
+// configuration: a response that this process reads late confirms no more than what the
+// directory knew when the watch began, or at its end if nothing had changed.
+func TestConfirmationsAreNeverTooLate(t *testing.T) {
+	const late = 300 * time.Millisecond
+	wait := ebonywood.Limits{}.Millis(ebonywood.LimitWatchWait)
+	for _, test := range []struct {
+		delay     time.Duration
+		changes   []ebonywood.Item
+		confirmed ebonywood.Millis
+	}{
+		{late, []ebonywood.Item{ebonywood.NewItem("members/m0", nil, 4)}, 0},
+		{late, nil, 0},
+		{wait.Duration() + late, nil, wait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var posted ebonywood.Event
+			clock := startClock{start: time.Now()}
+			edge := New(timedPort{fakePort: fakePort{posted: &posted, directory: &fakeDirectory{changes: func(int64) ([]ebonywood.Item, int64, error) {
+				time.Sleep(test.delay)
+				return test.changes, 4, nil
+			}}}, clock: clock})
+			mirror := newMirror(edge)
+			mirror.items = map[string]ebonywood.Item{}
+			require.NoError(t, mirror.pollChanges(t.Context()))
+			require.Equal(t, test.confirmed, posted.(ebonywood.ConfigurationConfirmed).AsOf())
+		})
+	}
+}
+
+// timedPort is a fakePort with a clock of its own.
+type timedPort struct {
+	fakePort
+	clock ebonywood.Clock
+}
+
+func (port timedPort) Clock() ebonywood.Clock { return port.clock }
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -207,7 +207,7 @@
 	}
 	route, found := set.Route("", session.database)
 	if !found {
-		return nil, nil, failure(ebonywood.CodeNoDatabase, "no route names this database")
+		return nil, nil, failure(session.edge.noDatabaseCode(), "no route names this database")
 	}
 	view, found := snapshot.View(route.Instances()[0])
 	if !found {
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -140,18 +140,36 @@
 }
 
 // Open opens a session with a database. The code is CodeDone, CodeNoDatabase, or
-// CodeBusy before the first configuration and shortly before this process ends.
+// CodeBusy before the first configuration, while a newer one may be missing that names the
+// database, and shortly before this process ends.
 func (edge *Edge) Open(database string) (ebonywood.Session, ebonywood.Code) {
 	set := edge.port.Snapshot().ObjectSet()
 	if set == nil || edge.isNearShutdown() {
 		return nil, ebonywood.CodeBusy
 	}
 	if _, found := set.Route("", database); !found {
-		return nil, ebonywood.CodeNoDatabase
+		return nil, edge.noDatabaseCode()
 	}
 	return &session{edge: edge, database: database}, ebonywood.CodeDone
 }
 
+// configurationSettings is implemented by settings that say how old the knowledge of the
+// configuration may be for a database to be refused because no route names it.
+type configurationSettings interface {
+	MaxConfigurationAge() ebonywood.Millis
+}
+
+// noDatabaseCode returns the code for a database that no route names: CodeNoDatabase, or
+// CodeBusy while a configuration with such a route may have been accepted long enough ago
+// that it has to be in force.
+func (edge *Edge) noDatabaseCode() ebonywood.Code {
+	settings, ok := edge.port.Settings().(configurationSettings)
+	if !ok || edge.now()-edge.port.Snapshot().ObjectSetAsOf() <= settings.MaxConfigurationAge() {
+		return ebonywood.CodeNoDatabase
+	}
+	return ebonywood.CodeBusy
+}
+
 // isNearShutdown reports whether less than shutdownMargin is left before this process
 // ends, so that it starts no new work.
 func (edge *Edge) isNearShutdown() bool {
--- a/snapshot.go
+++ b/snapshot.go
@@ -118,6 +118,7 @@
 	views         map[InstanceID]*InstanceView
 	draining      bool
 	drainDeadline Millis
+	objectSetAsOf Millis
 	peers         []PeerView
 	owners        *Owners
 	peerUpdates   []PeerUpdate
@@ -154,6 +155,10 @@
 // ObjectSet returns the object set in force; nil before the first one.
 func (snapshot *Snapshot) ObjectSet() *ObjectSet { return snapshot.objectSet }
 
+// ObjectSetAsOf returns a time by which no newer object set had been accepted than the
+// one in force; 0 if none is known.
+func (snapshot *Snapshot) ObjectSetAsOf() Millis { return snapshot.objectSetAsOf }
+
 // View finds the view of an instance.
 func (snapshot *Snapshot) View(id InstanceID) (*InstanceView, bool) {
 	view, found := snapshot.views[id]
@@ -213,6 +218,9 @@
 // SetObjectSet sets the object set in force.
 func (draft *Draft) SetObjectSet(set *ObjectSet) { draft.snapshot.objectSet = set }
 
+// SetObjectSetAsOf sets the time by which no newer object set had been accepted.
+func (draft *Draft) SetObjectSetAsOf(asOf Millis) { draft.snapshot.objectSetAsOf = asOf }
+
 // AddView adds the view of an instance.
 func (draft *Draft) AddView(view *InstanceView) { draft.snapshot.views[view.id] = view }
 
--- a/statement.go
+++ b/statement.go
@@ -285,7 +285,8 @@
 	OpenForwarded(ctx context.Context, request ForwardRequest) ForwardedSession
 
 	// Open opens a session with a database. The code is CodeDone, CodeNoDatabase,
-	// or CodeBusy before the first configuration and shortly before this process
-	// ends. The session is nil unless the code is CodeDone.
+	// or CodeBusy before the first configuration, while a newer one may be missing
+	// that names the database, and shortly before this process ends. The session is
+	// nil unless the code is CodeDone.
 	Open(database string) (Session, Code)
 }
