Succession: keep a primary that the holder of the duty could not probe

After 1.5 s without a confirmed primary it asked all three members for their status, the primary among them, and promoted a replica, although the primary had replied as such and was serving everybody else. An acknowledged commit was rolled back, and the instance had no primary for 0.9 s.

Such a change is now aborted when a member replies as primary of the newest term, and it waits for the reply of the only member that claims to be primary, as long as that accepts connections.

TestHolderWithoutConnectionKeepsThePrimary fails on the code before; TestDeadClaimedPrimaryIsReplaced holds that a claim alone keeps nobody.

--- a/internal/decision/succession/failover.go
+++ b/internal/decision/succession/failover.go
@@ -120,7 +120,12 @@
 	if len(failover.replies) < failover.queried && !timedOut {
 		return nil
 	}
-	if len(failover.replies) < instance.requiredReplies() {
+	if failover.reason == reasonNoPrimary {
+		if primary, term := instance.repliedPrimary(); primary != "" {
+			return instance.abortFailover(now, primary, term)
+		}
+	}
+	if len(failover.replies) < instance.requiredReplies() || instance.lacksClaimedPrimary() {
 		if timedOut {
 			return instance.queryReplicationStatus(now, failover.reason)
 		}
@@ -136,6 +141,41 @@
 	}
 }
 
+// repliedPrimary returns the member that replied as primary of the newest term in the
+// replies, empty if none did. Other proxies may be served by it while this one has not
+// probed it, for example since it has no connection left.
+func (instance *instanceState) repliedPrimary() (primary ebonywood.MemberID, term ebonywood.Term) {
+	for _, status := range instance.failover.replies {
+		term = max(term, status.Term())
+	}
+	for id, status := range instance.failover.replies {
+		if status.IsPrimary() && status.Term() == term {
+			return id, term
+		}
+	}
+	return "", term
+}
+
+// lacksClaimedPrimary reports whether no primary was confirmed, and the only member that
+// claims to be primary accepts connections but has not replied.
+func (instance *instanceState) lacksClaimedPrimary() bool {
+	claimed := instance.presumedPrimary()
+	if instance.failover.reason != reasonNoPrimary || claimed == "" || instance.isUnreachable(claimed) {
+		return false
+	}
+	_, replied := instance.failover.replies[claimed]
+	return !replied && !instance.findMember(claimed).listed.Member().IsLeaving()
+}
+
+// abortFailover ends a failover for lack of a primary, since a member replied as such. It
+// counts as lost from now on, until a probe confirms it.
+func (instance *instanceState) abortFailover(now ebonywood.Millis, primary ebonywood.MemberID, term ebonywood.Term) []ebonywood.Action {
+	instance.failover = nil
+	instance.lostAt = now
+	instance.cachedView = nil
+	return []ebonywood.Action{ebonywood.NewLogMessage("changeAborted", "instance", instance.id, "member", primary, "term", uint64(term))}
+}
+
 // requiredReplies returns the number of replies needed to be sure that one of them
 // comes from a member with every acknowledged commit. With s synchronous replicas a
 // commit is on at least s of the n members other than the primary, so n-s+1 replies
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -346,3 +346,41 @@
 	driver.advance(50)
 	require.Contains(t, driver.actions, ebonywood.Action(ebonywood.NewAnnounceSuspects(nil)), "it no longer serves the instance")
 }
+
+// TestHolderWithoutConnectionKeepsThePrimary lets a new holder of the duty find no primary,
+// since the primary has no connection left for its probes. The primary serves the other
+// proxies, which report no suspects, and replies to the query for its status, at once or
+// only later. It must not be replaced, whatever the replicas have received.
+func TestHolderWithoutConnectionKeepsThePrimary(t *testing.T) {
+	for _, rounds := range []int{0, 1, 5} {
+		driver := &testDriver{t: t, decision: New("p0", ebonywood.Limits{}), now: 1000}
+		driver.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, false), listed(second, false), listed(third, false)}))
+		driver.report(nil, nil)
+		driver.send(ebonywood.NewDutyChanged(true, token))
+		driver.advance(noPrimaryTimeout + 100)
+		for range rounds {
+			driver.reply(map[ebonywood.MemberID]uint64{second: 10, third: 12})
+			driver.advance(queryTimeout + 50)
+			require.Empty(t, driver.orders(), "the member that claims to be primary has not replied")
+		}
+		driver.reply(map[ebonywood.MemberID]uint64{second: 10, third: 12})
+		driver.send(ebonywood.NewReplicationStatusReceived(db, first, ebonywood.NewReplicationStatus(true, 1, ebonywood.NewPosition(1, 11), 0, 20), nil))
+		driver.advance(1000)
+		require.Empty(t, driver.orders(), "the primary replied")
+	}
+}
+
+// TestDeadClaimedPrimaryIsReplaced checks that a claim alone keeps no primary: the member
+// that claims it accepts no connections.
+func TestDeadClaimedPrimaryIsReplaced(t *testing.T) {
+	driver := &testDriver{t: t, decision: New("p0", ebonywood.Limits{}), now: 1000}
+	driver.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, false), listed(second, false), listed(third, false)}))
+	driver.report(nil, nil)
+	driver.send(ebonywood.NewDutyChanged(true, token))
+	driver.send(ebonywood.NewMemberReachabilityChanged(db, first, false))
+	driver.advance(noPrimaryTimeout + 100)
+	driver.reply(map[ebonywood.MemberID]uint64{second: 10, third: 12})
+	driver.advance(500)
+	require.Len(t, driver.orders(), 1)
+	require.Equal(t, third, driver.orders()[0].Member())
+}
