Review: a lone line feed splits a request in two

Cause: the reader of the line protocol takes every LF for the end of a message, though a message ends with CR LF and its last field extends to there.

--- /dev/null
+++ b/review/harness/cases.go
@@ -0,0 +1,255 @@
+package main
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// settleTime is how long the machines run before a disruption: more than stable-ms.
+const settleTime = 5 * time.Second
+
+// smuggle sends requests whose last field contains a line feed. A message ends with CR
+// LF and its last field extends to the end of the line, so each is one request. A member
+// may run it as it was sent or not at all.
+func smuggle(record *record, trouble bool) []string {
+	deployment := start(record, 3, 1, 0)
+	service := deployment.services[0]
+	sent := map[string]string{}
+	var texts []string
+	for i := range 20 {
+		texts = append(texts, fmt.Sprintf("WRITE note%d seam sealed", i))
+		if trouble {
+			texts = append(texts, fmt.Sprintf("WRITE memo%d seam 1 sealed\nseam 2 open", i),
+				fmt.Sprintf("WRITE item%d x\nQUERY %s WRITE order%d forged", i, newID(), i))
+		}
+	}
+	for i, text := range texts {
+		client, err := dial(deployment.fleet.nodes[i%len(deployment.fleet.nodes)], database(service))
+		if err != nil {
+			cannotRun(err.Error())
+		}
+		id := newID()
+		sent[id] = text
+		record.line("sent id=%s text=%q", id, text)
+		answer := client.query(id, text, 2*time.Second)
+		record.line("answered id=%s code=%q signature=%q", id, answer.code, answer.signature)
+		client.close()
+	}
+	time.Sleep(500 * time.Millisecond)
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	if len(service.runs) == 0 {
+		cannotRun("no statement was run")
+	}
+	var violations []string
+	for _, run := range service.runs {
+		record.line("run member=%s id=%s text=%q", run.member, run.id, run.text)
+		text, found := sent[run.id]
+		switch {
+		case !found:
+			violations = append(violations, fmt.Sprintf("UNASKED: %s ran id %s, which no client sent: %q", run.member, run.id, run.text))
+		case text != run.text:
+			violations = append(violations, fmt.Sprintf("UNASKED: %s ran id %s as %q, sent was %q", run.member, run.id, run.text, text))
+		}
+	}
+	return violations
+}
+
+// database is the name of the primary route's database of a service.
+func database(service *service) string { return "patchlog-" + service.name }
+
+// attempt is one write of a client and its outcome; code is empty for a success.
+type attempt struct {
+	service  *service
+	id, code string
+}
+
+// load is a number of sessions that write until they are stopped.
+type load struct {
+	deployment *deployment
+	stop       chan struct{}
+	group      sync.WaitGroup
+	mutex      sync.Mutex
+	attempts   []attempt
+}
+
+// startLoad starts sessions with each service; each pauses between two writes.
+func startLoad(deployment *deployment, sessions int, pause time.Duration) *load {
+	load := &load{deployment: deployment, stop: make(chan struct{})}
+	for _, service := range deployment.services {
+		for i := range sessions {
+			load.group.Go(func() { load.write(service, i, pause) })
+		}
+	}
+	return load
+}
+
+// end stops the sessions and returns the attempts.
+func (load *load) end() []attempt {
+	close(load.stop)
+	load.group.Wait()
+	return load.attempts
+}
+
+func (load *load) write(service *service, number int, pause time.Duration) {
+	nodes := load.deployment.fleet.nodes
+	var session *client
+	for count := 0; ; count++ {
+		select {
+		case <-load.stop:
+			if session != nil {
+				session.close()
+			}
+			return
+		case <-time.After(pause):
+		}
+		if session == nil {
+			opened, err := dial(nodes[(number+count)%len(nodes)], database(service))
+			if err != nil {
+				continue
+			}
+			session = opened
+		}
+		id := newID()
+		answer := session.query(id, fmt.Sprintf("WRITE s%dn%d data%d", number, count%50, count), time.Second)
+		load.mutex.Lock()
+		load.attempts = append(load.attempts, attempt{service: service, id: id, code: answer.code})
+		load.mutex.Unlock()
+		if answer.code == "cut" {
+			session.close()
+			session = nil
+		}
+		if answer.code != "" {
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+const (
+	// drainBound is drain-ms.
+	drainBound = 7 * time.Second
+	// releases is how often the primary of each service is replaced.
+	releases        = 10
+	releaseInterval = drainBound + 2*time.Second
+	// A commit takes from inZoneDelay to crossZoneDelay to a replica.
+	inZoneDelay    = 200 * time.Microsecond
+	crossZoneDelay = 900 * time.Microsecond
+)
+
+// synced replaces the primaries of services with sync-replicas = 1, one time after the
+// other, while clients write. A commit is acknowledged once one replica has received it.
+func synced(record *record, trouble bool) []string {
+	deployment := start(record, 3, 3, 1)
+	load := startLoad(deployment, 12, 5*time.Millisecond)
+	time.Sleep(settleTime)
+	for number := range releases {
+		for _, service := range deployment.services {
+			if trouble {
+				service.replacePrimary(number)
+			}
+			time.Sleep(releaseInterval / time.Duration(len(deployment.services)))
+		}
+	}
+	attempts := load.end()
+	time.Sleep(time.Second)
+	promotions := 0
+	kept, lostAt := map[string]bool{}, map[string]promotion{}
+	for _, service := range deployment.services {
+		service.mutex.Lock()
+		for _, entry := range service.primary.log {
+			for _, id := range entry.ids {
+				kept[id] = true
+			}
+		}
+		for _, promotion := range service.promoted {
+			for _, id := range promotion.lost {
+				lostAt[id] = promotion
+			}
+		}
+		promotions += len(service.promoted)
+		service.mutex.Unlock()
+	}
+	var violations []string
+	for _, attempt := range attempts {
+		record.line("write service=%s id=%s answer=%q kept=%t", attempt.service.name, attempt.id, attempt.code, kept[attempt.id])
+		if attempt.code == "" && !kept[attempt.id] {
+			promotion := lostAt[attempt.id]
+			violations = append(violations, fmt.Sprintf("LOST: write %s was acknowledged and is not in the log of %s, which was promoted to term %d",
+				attempt.id, promotion.member, promotion.term))
+		}
+	}
+	record.line("writes=%d promotions=%d", len(attempts), promotions)
+	if trouble && promotions == 0 {
+		cannotRun("no primary was replaced")
+	}
+	return violations
+}
+
+// replacePrimary lets the primary drain. It serves on for drain-ms and a little longer;
+// then a new member takes over its address and its log.
+func (service *service) replacePrimary(number int) {
+	service.mutex.Lock()
+	old := service.primary
+	service.mutex.Unlock()
+	service.record.line("release: %s drains", old.id)
+	old.drain()
+	time.AfterFunc(drainBound+500*time.Millisecond, func() {
+		service.mutex.Lock()
+		led := service.primary == old
+		service.mutex.Unlock()
+		if led {
+			service.record.line("release: %s was not replaced and stays", old.id)
+			return
+		}
+		old.end()
+		service.mutex.Lock()
+		log := append([]*entry(nil), service.primary.log...)
+		service.mutex.Unlock()
+		added := service.addMember(fmt.Sprintf("i-%s-n%d", service.name, number), old.zone, old.listener.Addr().String(), log)
+		service.record.line("release: %s ended, %s has its address", old.id, added.id)
+		added.publish()
+	})
+}
+
+const (
+	// dutyOutage is how long the platform refuses promotions.
+	dutyOutage = 9 * time.Second
+	// linger is how long a draining member goes on beyond drainBound.
+	linger = 4 * time.Second
+)
+
+// drain lets the primary drain while the platform's promotion endpoint is down.
+func drain(record *record, trouble bool) []string {
+	deployment := start(record, 3, 1, 0)
+	service := deployment.services[0]
+	load := startLoad(deployment, 6, 20*time.Millisecond)
+	time.Sleep(settleTime)
+	service.mutex.Lock()
+	old := service.primary
+	if trouble {
+		service.refusePromotions = time.Now().Add(dutyOutage)
+	}
+	service.mutex.Unlock()
+	acknowledged := old.drain()
+	record.line("draining acknowledged member=%s promotions refused=%t", old.id, trouble)
+	time.Sleep(drainBound + linger)
+	old.end()
+	attempts := load.end()
+	answers := map[string]string{}
+	for _, attempt := range attempts {
+		answers[attempt.id] = attempt.code
+	}
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	var violations []string
+	for _, run := range service.runs {
+		late := run.at.Sub(acknowledged)
+		record.line("run member=%s id=%s after-ack=%.3fs answer=%q", run.member, run.id, late.Seconds(), answers[run.id])
+		if run.member == old.id && run.opener && late > drainBound {
+			violations = append(violations, fmt.Sprintf("DRAIN: %s reached %s %.3f s after its draining was acknowledged", run.id, old.id, late.Seconds()))
+		}
+	}
+	record.line("writes=%d promotion orders=%d", len(attempts), service.orders)
+	return violations
+}
--- /dev/null
+++ b/review/harness/store.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// store is a stand-in for the platform's metadata store: keys with revisions,
+// leases and watches over HTTP.
+type store struct {
+	mutex    sync.Mutex
+	revision int64
+	items    map[string]item
+	events   []item
+	changed  chan struct{}
+	leases   map[int64]*lease
+	server   *http.Server
+	address  string
+}
+
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision int64  `json:"revision"`
+	Created  int64  `json:"created,omitempty"`
+	Lease    int64  `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// storeLatency is the time after which the store answers a call.
+const storeLatency = 4 * time.Millisecond
+
+func newStore() *store {
+	store := &store{items: map[string]item{}, changed: make(chan struct{}), leases: map[int64]*lease{}, revision: 100}
+	mux := http.NewServeMux()
+	for pattern, handle := range map[string]http.HandlerFunc{
+		"GET /kv-key": store.serveKey, "GET /kv-range": store.serveRange, "GET /kv-watch": store.serveWatch,
+		"POST /kv-txn": store.serveTxn, "POST /kv-lease": store.serveGrant,
+		"POST /kv-keep/{id}": store.serveKeep, "DELETE /kv-lease-end/{id}": store.serveEnd,
+	} {
+		mux.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
+			time.Sleep(storeLatency)
+			handle(writer, request)
+		})
+	}
+	listener := listen("127.0.0.1:0")
+	store.address = listener.Addr().String()
+	store.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = store.server.Serve(listener) }()
+	return store
+}
+
+func listen(address string) net.Listener {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		cannotRun("listen at " + address + ": " + err.Error())
+	}
+	return listener
+}
+
+func writeJSON(writer http.ResponseWriter, status int, body any) {
+	writer.Header().Set("Content-Type", "application/json")
+	writer.WriteHeader(status)
+	_ = json.NewEncoder(writer).Encode(body)
+}
+
+// put writes a key, as the operator or a member does.
+func (store *store) put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.putLocked(key, text, 0)
+}
+
+func (store *store) remove(key string) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.removeLocked(key)
+}
+
+func (store *store) putLocked(key string, value []byte, lease int64) {
+	store.revision++
+	created := store.items[key].Created
+	if created == 0 {
+		created = store.revision
+	}
+	stored := item{Key: key, Value: value, Revision: store.revision, Created: created, Lease: lease}
+	store.items[key] = stored
+	store.addEvent(stored)
+}
+
+func (store *store) removeLocked(key string) {
+	if _, found := store.items[key]; !found {
+		return
+	}
+	store.revision++
+	delete(store.items, key)
+	store.addEvent(item{Key: key, Revision: store.revision, Deleted: true})
+}
+
+func (store *store) addEvent(event item) {
+	store.events = append(store.events, event)
+	close(store.changed)
+	store.changed = make(chan struct{})
+}
+
+func (store *store) serveKey(writer http.ResponseWriter, request *http.Request) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	found, ok := store.items[request.FormValue("key")]
+	if !ok {
+		writeJSON(writer, http.StatusNotFound, map[string]any{"at": store.revision})
+		return
+	}
+	writeJSON(writer, http.StatusOK, found)
+}
+
+func (store *store) serveRange(writer http.ResponseWriter, request *http.Request) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	items := []item{}
+	for key, item := range store.items {
+		if strings.HasPrefix(key, request.FormValue("prefix")) && key > request.FormValue("after") {
+			items = append(items, item)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Key < items[j].Key })
+	writeJSON(writer, http.StatusOK, map[string]any{"items": items, "has-more": false, "at": store.revision})
+}
+
+func (store *store) serveWatch(writer http.ResponseWriter, request *http.Request) {
+	after, _ := strconv.ParseInt(request.FormValue("after"), 10, 64)
+	wait, _ := strconv.Atoi(request.FormValue("wait-ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		store.mutex.Lock()
+		events := []item{}
+		for _, event := range store.events {
+			if event.Revision > after && strings.HasPrefix(event.Key, request.FormValue("prefix")) {
+				events = append(events, event)
+			}
+		}
+		changed, revision := store.changed, store.revision
+		store.mutex.Unlock()
+		if len(events) > 0 {
+			writeJSON(writer, http.StatusOK, map[string]any{"events": events, "at": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			writeJSON(writer, http.StatusOK, map[string]any{"events": events, "at": revision})
+			return
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
+
+func (store *store) serveTxn(writer http.ResponseWriter, request *http.Request) {
+	var body struct {
+		Expect []item   `json:"expect"`
+		Puts   []item   `json:"puts"`
+		Remove []string `json:"remove"`
+	}
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	for _, expected := range body.Expect {
+		if store.items[expected.Key].Revision != expected.Revision {
+			writeJSON(writer, http.StatusPreconditionFailed, map[string]any{"items": []item{store.items[expected.Key]}})
+			return
+		}
+	}
+	for _, put := range body.Puts {
+		if _, found := store.leases[put.Lease]; put.Lease != 0 && !found {
+			writer.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, put := range body.Puts {
+		store.putLocked(put.Key, put.Value, put.Lease)
+	}
+	for _, key := range body.Remove {
+		store.removeLocked(key)
+	}
+	writeJSON(writer, http.StatusOK, map[string]any{"revision": store.revision})
+}
+
+func (store *store) serveGrant(writer http.ResponseWriter, request *http.Request) {
+	var body struct {
+		TTL int64 `json:"ttl-ms"`
+	}
+	if json.NewDecoder(request.Body).Decode(&body) != nil {
+		writer.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.revision++
+	id, ttl := store.revision, time.Duration(body.TTL)*time.Millisecond
+	store.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { store.endLease(id) })}
+	writeJSON(writer, http.StatusOK, map[string]any{"lease": id, "ttl-ms": body.TTL})
+}
+
+func (store *store) endLease(id int64) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	ended, found := store.leases[id]
+	if !found {
+		return
+	}
+	ended.timer.Stop()
+	delete(store.leases, id)
+	for key, item := range store.items {
+		if item.Lease == id {
+			store.removeLocked(key)
+		}
+	}
+}
+
+func (store *store) serveKeep(writer http.ResponseWriter, request *http.Request) {
+	id, _ := strconv.ParseInt(request.PathValue("id"), 10, 64)
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	kept, found := store.leases[id]
+	if !found {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	kept.timer.Reset(kept.ttl)
+	writeJSON(writer, http.StatusOK, map[string]any{"lease": id, "ttl-ms": kept.ttl.Milliseconds()})
+}
+
+func (store *store) serveEnd(writer http.ResponseWriter, request *http.Request) {
+	id, _ := strconv.ParseInt(request.PathValue("id"), 10, 64)
+	store.endLease(id)
+	writeJSON(writer, http.StatusOK, map[string]any{})
+}
