Review: a storm of large configurations leaves all proxies on an old one

Cause: the client of the store reads 4 MiB of an answer; a watch that returns more fails to decode, again and again from the same revision, until the history is dropped.

--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 )
@@ -132,13 +134,17 @@
 	// releases is how often the primary of each service is replaced.
 	releases        = 10
 	releaseInterval = drainBound + 2*time.Second
+	// A replica receives nothing for deafFor, from a moment within deafWithin of the release
+	// on.
+	deafFor    = 3 * time.Second
+	deafWithin = 400 * time.Millisecond
 	// A commit takes from inZoneDelay to crossZoneDelay to a replica.
 	inZoneDelay    = 200 * time.Microsecond
 	crossZoneDelay = 900 * time.Microsecond
 )
 
 // synced replaces the primaries of services with sync-replicas = 1, one time after the
-// other, while clients write. A commit is acknowledged once one replica has received it.
+// other, while clients write. Each time one replica receives nothing for a while. A commit is acknowledged once one replica has received it.
 func synced(record *record, trouble bool) []string {
 	deployment := start(record, 3, 3, 1)
 	load := startLoad(deployment, 12, 5*time.Millisecond)
@@ -147,6 +153,7 @@
 		for _, service := range deployment.services {
 			if trouble {
 				service.replacePrimary(number)
+				time.AfterFunc(rand.N(deafWithin), service.deafenReplica)
 			}
 			time.Sleep(releaseInterval / time.Duration(len(deployment.services)))
 		}
@@ -186,6 +193,25 @@
 	return violations
 }
 
+// deafenReplica makes a random replica receive nothing for deafFor.
+func (service *service) deafenReplica() {
+	service.mutex.Lock()
+	var replicas []*member
+	for _, member := range service.members {
+		if member != service.primary && !member.draining {
+			replicas = append(replicas, member)
+		}
+	}
+	if len(replicas) == 0 {
+		service.mutex.Unlock()
+		return
+	}
+	deaf := replicas[rand.IntN(len(replicas))]
+	deaf.deafUntil = time.Now().Add(deafFor)
+	service.mutex.Unlock()
+	service.record.line("replica %s receives nothing for %s", deaf.id, deafFor)
+}
+
 // replacePrimary lets the primary drain. It serves on for drain-ms and a little longer;
 // then a new member takes over its address and its log.
 func (service *service) replacePrimary(number int) {
@@ -253,3 +279,165 @@
 	record.line("writes=%d promotion orders=%d", len(attempts), service.orders)
 	return violations
 }
+
+const (
+	// valueSize is the size of a large value: a message may have 1 MiB.
+	valueSize = 1_000_000
+	// values is how many values a session sets.
+	values = 290
+	// memoryRounds is how often each of memoryNodes gets such a session.
+	memoryRounds = 3
+	memoryNodes  = 2
+	restartDelay = 500 * time.Millisecond
+)
+
+// memory lets one session a machine set many large values. The stand-in of the platform
+// kills a process that exceeds its memory, and starts it again after a short delay.
+func memory(record *record, trouble bool) []string {
+	deployment := start(record, 3, 1, 0)
+	load := startLoad(deployment, 6, 20*time.Millisecond)
+	time.Sleep(settleTime)
+	size := valueSize
+	if !trouble {
+		size = 100
+	}
+	ends := map[string]int{}
+	for range memoryRounds {
+		for _, node := range deployment.fleet.nodes[:memoryNodes] {
+			client, err := dial(node, database(deployment.services[0]))
+			if err != nil {
+				cannotRun(err.Error())
+			}
+			if exceeded := node.setValues(record, client, size); exceeded > 0 {
+				ends[node.name]++
+				record.line("%s has %d MB and is killed; its limit is %d MB", node.name, exceeded, memoryMB)
+				node.kill()
+				time.Sleep(restartDelay)
+				node.start()
+				node.awaitReady()
+			}
+			client.close()
+		}
+	}
+	answers := map[string]int{}
+	for _, attempt := range load.end() {
+		answers[attempt.code]++
+	}
+	record.line("answers to the other clients' writes: %v; kills: %v", answers, ends)
+	machines := 0
+	for _, count := range ends {
+		if count >= memoryRounds {
+			machines++
+		}
+	}
+	if machines < memoryNodes {
+		return nil
+	}
+	return []string{fmt.Sprintf("Fault: the processes on %d of 3 machines ended %d times each, over their memory", machines, memoryRounds)}
+}
+
+// setValues sets the values of one session one after the other, and returns the
+// process's resident memory in MB once that exceeds the limit, 0 if it doesn't.
+func (node *node) setValues(record *record, client *client, size int) (exceeded int) {
+	value := strings.Repeat("x", size)
+	for number := range values {
+		answer := client.query(newID(), fmt.Sprintf("SET name%d %s", number, value), 2*time.Second)
+		resident := node.residentMB()
+		if number%30 == 0 || answer.code != "" || resident > memoryMB {
+			record.line("node=%s SET number=%d bytes=%d answer=%q resident=%d MB", node.name, number+1, size, answer.code, resident)
+		}
+		if resident > memoryMB {
+			return resident
+		}
+		if answer.code != "" {
+			return 0
+		}
+	}
+	return 0
+}
+
+const (
+	// stormRoutes is how many routes the configuration grows by.
+	stormRoutes = 1400
+	// stormGap and stormLength are those of a storm of configurations.
+	stormGap    = 80 * time.Millisecond
+	stormLength = 2 * time.Second
+	// applyBound is config-apply-ms.
+	applyBound = 3 * time.Second
+	// slowLength is how long the store is slow, stable is stable-ms.
+	slowLength = 4500 * time.Millisecond
+	stable     = 4 * time.Second
+)
+
+// storm lets a large configuration change in quick succession; the last version drops a
+// route. A session of that route goes on.
+func storm(record *record, trouble bool) []string {
+	deployment := start(record, 7, 1, 0)
+	service := deployment.services[0]
+	deployment.extraRoutes, deployment.extraDatabase = stormRoutes, "dropped"
+	deployment.publish()
+	time.Sleep(settleTime)
+	size := deployment.publish()
+	record.line("the configuration has %d bytes", size)
+	time.Sleep(settleTime)
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	sentAt, answers := map[string]time.Time{}, map[string]string{}
+	for _, node := range deployment.fleet.nodes {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+				}
+				session, err := dial(node, "dropped")
+				if err != nil {
+					continue
+				}
+				id, now := newID(), time.Now()
+				answer := session.query(id, "WRITE dropped data", time.Second)
+				mutex.Lock()
+				sentAt[id], answers[id] = now, answer.code
+				mutex.Unlock()
+				session.close()
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	slowEnd := time.Now()
+	if trouble {
+		slowEnd = slowEnd.Add(slowLength)
+		deployment.store.mutex.Lock()
+		deployment.store.slowUntil = slowEnd
+		deployment.store.mutex.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		for end := time.Now().Add(stormLength); time.Now().Before(end); time.Sleep(stormGap) {
+			deployment.publish()
+		}
+	}
+	deployment.extraDatabase = ""
+	deployment.publish()
+	acknowledged := time.Now()
+	record.line("version %d is acknowledged; it drops the route", deployment.version)
+	time.Sleep(22 * time.Second)
+	close(stop)
+	group.Wait()
+	service.mutex.Lock()
+	defer service.mutex.Unlock()
+	// From then on the machines are in touch, and the bound has passed once more.
+	inForce := acknowledged
+	if end := slowEnd.Add(stable); end.After(inForce) {
+		inForce = end
+	}
+	var violations []string
+	for _, run := range service.runs {
+		late := sentAt[run.id].Sub(acknowledged)
+		record.line("run member=%s id=%s sent-after-ack=%.3fs answer=%q", run.member, run.id, late.Seconds(), answers[run.id])
+		if sentAt[run.id].Sub(inForce) > applyBound {
+			violations = append(violations, fmt.Sprintf("CONFIG: %s was sent %.3f s after the version that drops its route and was run by %s", run.id, late.Seconds(), run.member))
+		}
+	}
+	return violations
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -50,6 +50,8 @@
 	"smuggle": smuggle,
 	"synced":  synced,
 	"drain":   drain,
+	"memory":  memory,
+	"storm":   storm,
 }
 
 func main() {
--- a/review/harness/member.go
+++ b/review/harness/member.go
@@ -86,6 +86,8 @@
 	slots    chan struct{}
 	waiting  int
 	conns    map[net.Conn]struct{}
+	// deafUntil is until when the member receives nothing.
+	deafUntil time.Time
 }
 
 func newService(record *record, store *store, name string, zones []string, syncReplicas int) *service {
@@ -407,7 +409,8 @@
 		if !found {
 			return backend.fail("NOSTMT")
 		}
-		verb, operands = strings.Fields(shape)[0], arguments
+		verb, _, _ = strings.Cut(shape, " ")
+		operands = arguments
 	}
 	name, data, _ := strings.Cut(operands, " ")
 	switch verb {
@@ -489,7 +492,7 @@
 			service.mutex.Unlock()
 			return
 		}
-		if len(replica.log) == number {
+		if len(replica.log) == number && time.Now().After(replica.deafUntil) {
 			replica.log = append(replica.log, from.log[number])
 		}
 		done := len(replica.log) > number
--- a/review/harness/node.go
+++ b/review/harness/node.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -38,6 +39,10 @@
 	duty     *http.Server
 	dutyAt   string
 	version  int
+	// extraRoutes are routes beside those of the services; extraDatabase is the database of
+	// one more, if it is set.
+	extraRoutes   int
+	extraDatabase string
 }
 
 var zones = []string{"fukuoka", "kumamoto", "kagoshima"}
@@ -61,8 +66,8 @@
 	return deployment
 }
 
-// publish writes the next version of the configuration.
-func (deployment *deployment) publish() {
+// publish writes the next version of the configuration and returns its size.
+func (deployment *deployment) publish() int {
 	deployment.version += 3
 	var routes, backends []map[string]any
 	for _, service := range deployment.services {
@@ -82,7 +87,20 @@
 			},
 		)
 	}
-	deployment.store.put("op/config", map[string]any{
+	long := strings.Repeat("z", 200)
+	for i := range deployment.extraRoutes {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-%d-%s", i, long), "database": fmt.Sprintf("extra%d%s", i, long), "prefix": "/", "type": "primary",
+			"timeout-ms": 800 + deployment.version%7, "target-latency-ms": 150, "priority": 1, "backend": deployment.services[0].name, "max-attempts": 2,
+		})
+	}
+	if deployment.extraDatabase != "" {
+		routes = append(routes, map[string]any{
+			"name": "r-extra", "database": deployment.extraDatabase, "prefix": "/", "type": "primary", "timeout-ms": 800,
+			"target-latency-ms": 150, "priority": 1, "backend": deployment.services[0].name, "max-attempts": 2,
+		})
+	}
+	return deployment.store.put("op/config", map[string]any{
 		"version": deployment.version, "routes": routes, "backends": backends, "limits": map[string]any{"tx-idle-ms": 3000},
 	})
 }
@@ -221,3 +239,17 @@
 	}
 	return true
 }
+
+// residentMB returns the resident memory of the process in MB, 0 if it has ended.
+func (node *node) residentMB() int {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", node.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.Atoi(fields[1])
+	return pages * os.Getpagesize() >> 20
+}
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -18,10 +18,16 @@
 	revision int64
 	items    map[string]item
 	events   []item
-	changed  chan struct{}
-	leases   map[int64]*lease
-	server   *http.Server
-	address  string
+	// addedAt holds the time of each event; older ones than history are discarded, up to
+	// the revision discarded.
+	addedAt   []time.Time
+	discarded int64
+	changed   chan struct{}
+	leases    map[int64]*lease
+	server    *http.Server
+	address   string
+	// slowUntil is until when the store is slow.
+	slowUntil time.Time
 }
 
 type item struct {
@@ -38,6 +44,22 @@
 	timer *time.Timer
 }
 
+// latency returns the time after which the store answers a call now.
+func (store *store) latency() time.Duration {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	if time.Now().Before(store.slowUntil) {
+		return slowFactor * storeLatency
+	}
+	return storeLatency
+}
+
+// slowFactor is how many times as long a slow store takes for an answer.
+const slowFactor = 60
+
+// history is how long the store keeps its history.
+const history = 20 * time.Second
+
 // storeLatency is the time after which the store answers a call.
 const storeLatency = 4 * time.Millisecond
 
@@ -50,7 +72,7 @@
 		"POST /kv-keep/{id}": store.serveKeep, "DELETE /kv-lease-end/{id}": store.serveEnd,
 	} {
 		mux.HandleFunc(pattern, func(writer http.ResponseWriter, request *http.Request) {
-			time.Sleep(storeLatency)
+			time.Sleep(store.latency())
 			handle(writer, request)
 		})
 	}
@@ -70,13 +92,54 @@
 }
 
 func writeJSON(writer http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
 	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(body)
+	for len(text) > 0 {
+		chunk := text[:min(len(text), linkChunk)]
+		text = text[len(chunk):]
+		storeLink.pass(len(chunk))
+		if _, err := writer.Write(chunk); err != nil {
+			return
+		}
+	}
 }
 
-// put writes a key, as the operator or a member does.
-func (store *store) put(key string, value any) {
+// storeLink is the link of the store, which its answers share.
+var storeLink link
+
+const (
+	linkChunk = 64 << 10
+	// linkBytesPerSecond is 1,000 Mbit/s.
+	linkBytesPerSecond = 125_000_000
+)
+
+// link limits the bytes that pass in a second.
+type link struct {
+	mutex sync.Mutex
+	free  time.Time
+}
+
+// pass waits until the link has sent a number of bytes.
+func (link *link) pass(size int) {
+	link.mutex.Lock()
+	if now := time.Now(); link.free.Before(now) {
+		link.free = now
+	}
+	link.free = link.free.Add(time.Duration(size) * time.Second / linkBytesPerSecond)
+	wait := time.Until(link.free)
+	link.mutex.Unlock()
+	if wait > time.Millisecond {
+		time.Sleep(wait)
+	}
+}
+
+// put writes a key, as the operator or a member does, and returns the size of the value.
+func (store *store) put(key string, value any) int {
 	text, err := json.Marshal(value)
 	if err != nil {
 		panic(err)
@@ -84,6 +147,7 @@
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.putLocked(key, text, 0)
+	return len(text)
 }
 
 func (store *store) remove(key string) {
@@ -114,6 +178,11 @@
 
 func (store *store) addEvent(event item) {
 	store.events = append(store.events, event)
+	store.addedAt = append(store.addedAt, time.Now())
+	for len(store.events) > 0 && time.Since(store.addedAt[0]) > history {
+		store.discarded = store.events[0].Revision
+		store.events, store.addedAt = store.events[1:], store.addedAt[1:]
+	}
 	close(store.changed)
 	store.changed = make(chan struct{})
 }
@@ -154,8 +223,13 @@
 				events = append(events, event)
 			}
 		}
+		discarded := after < store.discarded
 		changed, revision := store.changed, store.revision
 		store.mutex.Unlock()
+		if discarded {
+			writer.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(events) > 0 {
 			writeJSON(writer, http.StatusOK, map[string]any{"events": events, "at": revision})
 			return
