--- a/review/harness/cases.go
+++ b/review/harness/cases.go
@@ -228,10 +228,7 @@
 			return
 		}
 		old.end()
-		service.mutex.Lock()
-		log := append([]*entry(nil), service.primary.log...)
-		service.mutex.Unlock()
-		added := service.addMember(fmt.Sprintf("i-%s-n%d", service.name, number), old.zone, old.listener.Addr().String(), log)
+		added := service.addMember(fmt.Sprintf("i-%s-n%d", service.name, number), old.zone, old.listener.Addr().String())
 		service.record.line("release: %s ended, %s has its address", old.id, added.id)
 		added.publish()
 	})
--- a/review/harness/member.go
+++ b/review/harness/member.go
@@ -57,7 +57,7 @@
 	lost []string
 }
 
-// run is a statement that a member ran for a client.
+// run is a statement that a member ran for a client; at is when it reached the member.
 type run struct {
 	at           time.Time
 	member       string
@@ -93,7 +93,7 @@
 func newService(record *record, store *store, name string, zones []string, syncReplicas int) *service {
 	service := &service{name: name, store: store, term: 3, syncReplicas: syncReplicas, record: record}
 	for i := range 3 {
-		service.addMember(fmt.Sprintf("i-%s-%d", name, i), zones[i%len(zones)], "127.0.0.1:0", nil)
+		service.addMember(fmt.Sprintf("i-%s-%d", name, i), zones[i%len(zones)], "127.0.0.1:0")
 	}
 	service.mutex.Lock()
 	service.primary = service.members[0]
@@ -108,13 +108,17 @@
 	return service
 }
 
-// addMember starts a member with a log.
-func (service *service) addMember(id, zone, address string, log []*entry) *member {
+// addMember starts a member with the log of the primary, if there is one, and receives
+// every later commit.
+func (service *service) addMember(id, zone, address string) *member {
 	member := &member{
-		service: service, id: id, zone: zone, log: log, listener: listen(address),
+		service: service, id: id, zone: zone, listener: listen(address),
 		slots: make(chan struct{}, memberSlots), conns: map[net.Conn]struct{}{},
 	}
 	service.mutex.Lock()
+	if service.primary != nil {
+		member.log = append([]*entry(nil), service.primary.log...)
+	}
 	service.members = append(service.members, member)
 	service.mutex.Unlock()
 	go member.accept()
@@ -320,6 +324,7 @@
 
 // handle runs one message and returns the reply, empty to close the connection.
 func (backend *backend) handle(message string) string {
+	arrivedAt := time.Now()
 	word, rest, _ := strings.Cut(message, " ")
 	id, text, _ := strings.Cut(rest, " ")
 	if word != "QUERY" || text == "" {
@@ -359,7 +364,7 @@
 	}
 	if id != "-" && occupies {
 		service.runs = append(service.runs, run{
-			at: time.Now(), member: member.id, id: id, text: statement, inTx: backend.mode != 0, opener: backend.mode == 0 || !backend.ran,
+			at: arrivedAt, member: member.id, id: id, text: statement, inTx: backend.mode != 0, opener: backend.mode == 0 || !backend.ran,
 		})
 		backend.ran = true
 	}
