--- a/Makefile
+++ b/Makefile
@@ -62,6 +62,7 @@
 	$(GO) test -run xxx -fuzz FuzzMessages -fuzztime $(FUZZTIME) ./internal/edge/relay
 	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/limitsfile
 	$(GO) test -run xxx -fuzz FuzzStatement -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run xxx -fuzz FuzzReader -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/settings
 	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/store
