Succession: stop writes before a switchover with synchronous replicas

Cause: the holder of the duty asked the replicas for their positions and promoted the most advanced one. A position proves something for the moment of the reply only; until the promotion took effect the leaving primary committed more, each commit confirmed by whichever replica received it first, and the chosen one need not be that one. Beside it: a leaving replica counted as a possible holder of commits but was not asked, so that no change with synchronous replicas began while one was leaving. Change: proxies that serve the instance hold their writes on request of the holder, and report when none is in flight; only then primary and replicas are asked, and a member with all of the primary's log is promoted. Without synchronous replicas nothing changes. Why it works: while the writes are stopped the log of the primary does not grow, so that the positions hold until the promotion takes effect. Ruled out: DEMOTE and PAUSE, see docs/DESIGN.md. Open: a primary that is taken for dead while it goes on committing.

--- a/directory.go
+++ b/directory.go
@@ -123,6 +123,9 @@
 	peer     PeerView
 	suspects []MemberID
 	leaving  bool
+	// requestedStops and writeStops are the stops of writes that the proxy requests, and
+	// those that are in force there.
+	requestedStops, writeStops []WriteStop
 }
 
 // NewProxyReport returns the report of a proxy. suspects are the members that the
@@ -131,6 +134,19 @@
 	return ProxyReport{peer: peer, suspects: suspects, leaving: leaving}
 }
 
+// WithWriteStops returns the report with the stops of writes that the proxy requests of
+// all proxies, and with those that it has carried out.
+func (report ProxyReport) WithWriteStops(requested, stopped []WriteStop) ProxyReport {
+	report.requestedStops, report.writeStops = requested, stopped
+	return report
+}
+
+// RequestedStops returns the stops of writes that the proxy requests of all proxies.
+func (report ProxyReport) RequestedStops() []WriteStop { return report.requestedStops }
+
+// WriteStops returns the stops for which the proxy has no write in flight and sends none.
+func (report ProxyReport) WriteStops() []WriteStop { return report.writeStops }
+
 // Name returns the proxy's name.
 func (report ProxyReport) Name() string { return report.peer.Name() }
 
@@ -225,6 +241,25 @@
 
 func (AnnounceSuspects) isAction() {}
 
+// AnnounceWriteStops writes the stops of writes that this process requests, and those
+// that it has carried out, into its report.
+type AnnounceWriteStops struct {
+	requested, stopped []WriteStop
+}
+
+// NewAnnounceWriteStops returns the action.
+func NewAnnounceWriteStops(requested, stopped []WriteStop) AnnounceWriteStops {
+	return AnnounceWriteStops{requested: requested, stopped: stopped}
+}
+
+// Requested returns the stops that this process requests of all proxies.
+func (action AnnounceWriteStops) Requested() []WriteStop { return action.requested }
+
+// Stopped returns the stops that this process has carried out.
+func (action AnnounceWriteStops) Stopped() []WriteStop { return action.stopped }
+
+func (AnnounceWriteStops) isAction() {}
+
 // AnnounceLeaving writes into this process's report that it is shutting down.
 type AnnounceLeaving struct{}
 
--- a/internal/decision/succession/failover.go
+++ b/internal/decision/succession/failover.go
@@ -24,9 +24,12 @@
 const (
 	// phaseCollecting waits for the candidates' replication status.
 	phaseCollecting phase = iota
+	// phaseStoppingWrites waits until the proxies have stopped their writes. It precedes
+	// phaseCollecting in a switchover.
+	phaseStoppingWrites
 	// phasePromoting waits until the ordered promotion takes effect.
 	phasePromoting
-	// phaseBackoff waits for refusalBackoff after a refused promotion.
+	// phaseBackoff waits after a refused promotion or a postponed switchover.
 	phaseBackoff
 )
 
@@ -34,8 +37,13 @@
 type failover struct {
 	reason         failoverReason
 	phase          phase
-	startedAt      ebonywood.Millis
 	phaseStartedAt ebonywood.Millis
+	// stop is the stop of writes that this process requested at stopRequestedAt; zero if
+	// the failover needs none.
+	stop            ebonywood.WriteStop
+	stopRequestedAt ebonywood.Millis
+	// backoff is how long phaseBackoff lasts.
+	backoff ebonywood.Millis
 	// replies has the replies of the current round, queried is the number of members
 	// that were queried in it.
 	replies map[ebonywood.MemberID]ebonywood.ReplicationStatus
@@ -46,6 +54,12 @@
 	unconfirmed bool
 }
 
+// backOff pauses before the next attempt. A stop of writes is withdrawn.
+func (failover *failover) backOff(now, duration ebonywood.Millis) {
+	failover.phase, failover.phaseStartedAt, failover.backoff = phaseBackoff, now, duration
+	failover.stop = ebonywood.WriteStop{}
+}
+
 // startFailover starts a failover unless the reason is reasonNone or no member can
 // be promoted.
 func (instance *instanceState) startFailover(now ebonywood.Millis, reason failoverReason) []ebonywood.Action {
@@ -61,16 +75,22 @@
 		"reason", string(reason), "asked", instance.failover.queried))
 }
 
-// queryReplicationStatus starts a new round and queries every candidate: each member
-// other than the primary that is reachable and not leaving.
+// queryReplicationStatus starts a new round and queries every candidate and, with
+// synchronous replicas, every other member that may hold commits that the candidates lack.
+// While the writes are stopped, it queries the primary, too.
 func (instance *instanceState) queryReplicationStatus(now ebonywood.Millis, reason failoverReason) []ebonywood.Action {
-	instance.failover = &failover{
-		reason: reason, phase: phaseCollecting, startedAt: now, phaseStartedAt: now,
+	next := &failover{
+		reason: reason, phase: phaseCollecting, phaseStartedAt: now,
 		replies: map[ebonywood.MemberID]ebonywood.ReplicationStatus{},
 	}
+	if instance.failover != nil {
+		next.stop, next.stopRequestedAt = instance.failover.stop, instance.failover.stopRequestedAt
+	}
+	instance.failover = next
 	var actions []ebonywood.Action
 	for _, member := range instance.members {
-		if !member.unreachable && !member.listed.Member().IsLeaving() && member.listed.Member().ID() != instance.primary {
+		isStopped := !next.stop.IsZero() && member.listed.Member().ID() == instance.primary
+		if isStopped || instance.mayHoldCommits(member) {
 			actions = append(actions, ebonywood.NewQueryReplicationStatus(instance.id, member.listed.Member()))
 			instance.failover.queried++
 		}
@@ -78,6 +98,18 @@
 	return actions
 }
 
+// isCandidate reports whether the member may become the primary.
+func (instance *instanceState) isCandidate(member *memberState) bool {
+	return !member.unreachable && !member.listed.Member().IsLeaving() && member.listed.Member().ID() != instance.primary
+}
+
+// mayHoldCommits reports whether the member's position matters for the choice of a
+// successor. A leaving member receives commits, and so counts as a synchronous replica.
+func (instance *instanceState) mayHoldCommits(member *memberState) bool {
+	isReachableReplica := !member.unreachable && member.listed.Member().ID() != instance.primary
+	return isReachableReplica && (instance.syncReplicas > 0 || !member.listed.Member().IsLeaving())
+}
+
 // recordReplicationStatus stores a candidate's reply to the current round. Failed queries
 // are ignored.
 func (instance *instanceState) recordReplicationStatus(event ebonywood.ReplicationStatusReceived) []ebonywood.Action {
@@ -105,7 +137,7 @@
 			return []ebonywood.Action{ebonywood.RenewToken{}}
 		}
 	case phaseBackoff:
-		if elapsed >= refusalBackoff {
+		if elapsed >= failover.backoff {
 			instance.failover = nil
 		}
 	}
@@ -125,13 +157,13 @@
 			return instance.abortFailover(now, primary, term)
 		}
 	}
-	if len(failover.replies) < instance.requiredReplies() || instance.lacksClaimedPrimary() {
+	best, position := instance.mostAdvanced()
+	if best == "" || !instance.holdsEveryCommit(position) || instance.lacksClaimedPrimary() {
 		if timedOut {
-			return instance.queryReplicationStatus(now, failover.reason)
+			return instance.repeatQuery(now)
 		}
 		return nil
 	}
-	best, position := instance.mostAdvanced()
 	failover.order = ebonywood.NewPromoteMember(instance.id, best, token)
 	failover.phase, failover.phaseStartedAt = phasePromoting, now
 	return []ebonywood.Action{
@@ -141,6 +173,35 @@
 	}
 }
 
+// repeatQuery starts another round of queries. A switchover is given up for now if its
+// promotion could take effect after the proxies have resumed their writes.
+func (instance *instanceState) repeatQuery(now ebonywood.Millis) []ebonywood.Action {
+	failover := instance.failover
+	if failover.stop.IsZero() || now-failover.stopRequestedAt < promotionWindow {
+		return instance.queryReplicationStatus(now, failover.reason)
+	}
+	failover.backOff(now, postponeDelay)
+	return []ebonywood.Action{ebonywood.NewLogMessage("changePostponed", "instance", instance.id, "reason", "no member has every commit")}
+}
+
+// holdsEveryCommit reports whether a log up to a position holds every commit that
+// synchronous replicas have confirmed: no member that replied is ahead of it, and either
+// the primary is one of these or enough replicas are. Without synchronous replicas one
+// reply is enough.
+func (instance *instanceState) holdsEveryCommit(position ebonywood.Position) bool {
+	replies := instance.failover.replies
+	if instance.syncReplicas == 0 {
+		return len(replies) > 0
+	}
+	for _, status := range replies {
+		if position.Less(status.Received()) {
+			return false
+		}
+	}
+	_, primaryReplied := replies[instance.primary]
+	return primaryReplied || len(replies) >= instance.requiredReplies()
+}
+
 // repliedPrimary returns the member that replied as primary of the newest term in the
 // replies, empty if none did. Other proxies may be served by it while this one has not
 // probed it, for example since it has no connection left.
@@ -193,15 +254,15 @@
 	return max(1, successors-instance.syncReplicas+1)
 }
 
-// mostAdvanced returns the member with the highest received position among those that
-// replied. Ties go to the member whose ID sorts first.
+// mostAdvanced returns the candidate with the highest received position among those that
+// replied, empty if none did. Ties go to the member whose ID sorts first.
 func (instance *instanceState) mostAdvanced() (ebonywood.MemberID, ebonywood.Position) {
 	var best ebonywood.MemberID
 	var position ebonywood.Position
 	for _, member := range instance.members {
 		id := member.listed.Member().ID()
 		status, replied := instance.failover.replies[id]
-		if replied && (best == "" || position.Less(status.Received())) {
+		if replied && instance.isCandidate(member) && (best == "" || position.Less(status.Received())) {
 			best, position = id, status.Received()
 		}
 	}
@@ -220,7 +281,7 @@
 	case fault == nil:
 		instance.failover.phaseStartedAt = now
 	case fault.Kind() == ebonywood.KindConflict:
-		instance.failover.phase, instance.failover.phaseStartedAt = phaseBackoff, now
+		instance.failover.backOff(now, refusalBackoff)
 		return []ebonywood.Action{logMessage, ebonywood.RenewToken{}}
 	default:
 		instance.failover.unconfirmed = true
--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -36,6 +36,8 @@
 	probedAt ebonywood.Millis
 	// failover is the failover in progress, nil without one.
 	failover *failover
+	// writes is the stop of writes that is in force in this process.
+	writes writeStopState
 	// cachedView is the last published view, nil if it is out of date.
 	cachedView *ebonywood.InstanceView
 }
@@ -120,8 +122,9 @@
 	instance.findMember(event.Member()).unreachable = false
 	instance.failover = nil
 	instance.cachedView = nil
-	return []ebonywood.Action{ebonywood.NewLogMessage(message,
-		"instance", instance.id, "member", event.Member(), "term", uint64(event.Term()), "unknownForMs", int64(gap))}
+	actions := instance.resumeWrites(now, "primary")
+	return append(actions, ebonywood.NewLogMessage(message,
+		"instance", instance.id, "member", event.Member(), "term", uint64(event.Term()), "unknownForMs", int64(gap)))
 }
 
 // clearPrimary removes the primary after it refused a transaction, and probes the
@@ -245,6 +248,7 @@
 	for _, member := range instance.members {
 		views = append(views, ebonywood.NewMemberView(member.listed.Member(), ebonywood.Position{}, 0, 0, !member.unreachable))
 	}
-	instance.cachedView = ebonywood.NewInstanceView(instance.id, instance.term, primary, false, views, nil).WithPrimaryLostAt(instance.lostAt)
+	holdingWrites := !instance.writes.current.IsZero()
+	instance.cachedView = ebonywood.NewInstanceView(instance.id, instance.term, primary, holdingWrites, views, nil).WithPrimaryLostAt(instance.lostAt)
 	return instance.cachedView
 }
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -67,6 +67,11 @@
 	directoryChangedAt   ebonywood.Millis
 	isolated             bool
 	announcedSuspects    []ebonywood.MemberID
+	announcedStops       ebonywood.AnnounceWriteStops
+	// peerStops are the stops of writes that other proxies request.
+	peerStops []ebonywood.WriteStop
+	// stopRounds counts the stops of writes that this process has requested.
+	stopRounds int64
 }
 
 // New returns the decision of the proxy named self.
@@ -87,7 +92,12 @@
 	case ebonywood.ObjectSetApplied:
 		decision.applyObjectSet(now, event.ObjectSet())
 	case ebonywood.ProxyReportsListed:
-		decision.reports = event.Reports()
+		return decision.setReports(now, event.Reports())
+	case ebonywood.WritesStopped:
+		if instance, found := decision.instances[event.Stop().Instance()]; found {
+			instance.writesStopped(event.Stop())
+		}
+		return decision.announceWriteStops()
 	case ebonywood.OwnersChanged:
 		decision.owners = event.Owners()
 		decision.updateWatched(now)
@@ -240,16 +250,41 @@
 			continue
 		}
 		if instance.failover == nil {
-			actions = append(actions, instance.startFailover(now, decision.reasonFor(now, instance))...)
+			actions = append(actions, decision.startFailover(now, instance)...)
 		}
 		if instance.failover != nil {
-			actions = append(actions, instance.advanceFailover(now, decision.token)...)
+			actions = append(actions, decision.advanceFailover(now, instance)...)
 		}
 	}
 	decision.isolated = decision.isIsolated(now)
+	actions = append(actions, decision.updateWriteStops(now)...)
 	return append(actions, decision.announceSuspects()...)
 }
 
+// startFailover starts a failover if the instance needs another primary, or a switchover
+// if its primary still runs and synchronous replicas confirm its commits.
+func (decision *Succession) startFailover(now ebonywood.Millis, instance *instanceState) []ebonywood.Action {
+	reason := decision.reasonFor(now, instance)
+	isRunning := !instance.isPrimaryUnreachable() && instance.findMember(instance.primary) != nil
+	switch {
+	case reason != reasonLeaving || instance.syncReplicas == 0 || !isRunning:
+		return instance.startFailover(now, reason)
+	case decision.directoryUnavailable:
+		// The other proxies would not receive the request to stop their writes.
+		return nil
+	default:
+		return decision.startSwitchover(now, instance, reason)
+	}
+}
+
+// advanceFailover runs the current phase of the instance's failover.
+func (decision *Succession) advanceFailover(now ebonywood.Millis, instance *instanceState) []ebonywood.Action {
+	if instance.failover.phase == phaseStoppingWrites {
+		return decision.advanceStop(now, instance)
+	}
+	return instance.advanceFailover(now, decision.token)
+}
+
 // isIsolated reports whether callers should be sent to another proxy: this one can't
 // reach the directory, and for some instance it can't reach the primary (if it serves
 // the instance) or any of the proxies that serve it (if it doesn't).
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -82,6 +82,7 @@
 	recoveredAt    time.Time
 	lastResponseAt time.Time
 	suspects       []ebonywood.MemberID
+	writeStops     ebonywood.AnnounceWriteStops
 	leaving        bool
 	// nodeWritten is set while the node key in the directory is up to date; nodeRevision is
 	// that of its last write.
@@ -104,6 +105,31 @@
 	Address  string   `json:"address"`
 	Suspects []string `json:"suspects,omitempty"`
 	Leaving  bool     `json:"leaving,omitempty"`
+	// RequestedStops are the stops of writes that the proxy requests, WriteStops those that
+	// it has carried out.
+	RequestedStops []stopValue `json:"requestedStops,omitempty"`
+	WriteStops     []stopValue `json:"writeStops,omitempty"`
+}
+
+// stopValue is the JSON form of a stop of writes.
+type stopValue struct {
+	Instance string `json:"instance"`
+	Token    int64  `json:"token"`
+	Round    int64  `json:"round"`
+}
+
+func encodeStops(stops []ebonywood.WriteStop) (values []stopValue) {
+	for _, stop := range stops {
+		values = append(values, stopValue{Instance: string(stop.Instance()), Token: stop.Token(), Round: stop.Round()})
+	}
+	return values
+}
+
+func decodeStops(values []stopValue) (stops []ebonywood.WriteStop) {
+	for _, value := range values {
+		stops = append(stops, ebonywood.NewWriteStop(ebonywood.InstanceID(value.Instance), value.Token, value.Round))
+	}
+	return stops
 }
 
 // dutyValue is the JSON value of the duty key.
@@ -155,6 +181,9 @@
 	case ebonywood.AnnounceSuspects:
 		edge.suspects = action.Suspects()
 		edge.nodeWritten = false
+	case ebonywood.AnnounceWriteStops:
+		edge.writeStops = action
+		edge.nodeWritten = false
 	case ebonywood.AnnounceLeaving:
 		edge.leaving = true
 		edge.nodeWritten = false
@@ -289,7 +318,8 @@
 			suspects = append(suspects, ebonywood.MemberID(suspect))
 		}
 		peer := ebonywood.NewPeerView(value.Name, value.Zone, value.Address)
-		reports = append(reports, ebonywood.NewProxyReport(peer, suspects, value.Leaving))
+		report := ebonywood.NewProxyReport(peer, suspects, value.Leaving)
+		reports = append(reports, report.WithWriteStops(decodeStops(value.RequestedStops), decodeStops(value.WriteStops)))
 	}
 	slices.SortFunc(reports, func(left, right ebonywood.ProxyReport) int {
 		return strings.Compare(left.Name(), right.Name())
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -130,7 +130,10 @@
 	defer cancel()
 	edge.mutex.Lock()
 	settings := edge.port.Settings()
-	value := nodeValue{Name: settings.Name(), Zone: settings.Zone(), Address: settings.PeerAddress(), Leaving: edge.leaving}
+	value := nodeValue{
+		Name: settings.Name(), Zone: settings.Zone(), Address: settings.PeerAddress(), Leaving: edge.leaving,
+		RequestedStops: encodeStops(edge.writeStops.Requested()), WriteStops: encodeStops(edge.writeStops.Stopped()),
+	}
 	for _, suspect := range edge.suspects {
 		value.Suspects = append(value.Suspects, string(suspect))
 	}
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -26,6 +26,8 @@
 	// outcomeNoSlot: the statement got none of this process's slots of the member in time
 	// and was not sent; another member may run it.
 	outcomeNoSlot
+	// outcomeHeld: writes were stopped before the statement was sent.
+	outcomeHeld
 	// outcomeUnprepared: the connection lacks the prepared statement; the statement was
 	// not run.
 	outcomeUnprepared
@@ -85,6 +87,9 @@
 	id := attempt.route.Instances()[0]
 	reply := failure(ebonywood.CodeBusy, "no primary")
 	for ; attempt.tries < maxTries && attempt.remaining() > 0; attempt.tries++ {
+		if attempt.mayCommit && !session.edge.awaitWrites(attempt.awaited, id, attempt.deadline) {
+			return heldReply(ebonywood.TxIdle)
+		}
 		pool, fault := session.edge.primaryPool(id, attempt.deadline)
 		if fault != nil {
 			return failure(ebonywood.CodeBusy, fault.Message())
@@ -125,7 +130,7 @@
 		pool.release(lease, false)
 		session.edge.reportNotPrimary(pool)
 		session.edge.awaitNotPrimary(pool, attempt.deadline)
-	case outcomeNoSlot:
+	case outcomeNoSlot, outcomeHeld:
 		pool.release(lease, false)
 	case outcomeLagging:
 		pool.markLagging()
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -71,6 +71,9 @@
 	member   ebonywood.MemberID
 	tries    int
 	writes   bool
+	// mayCommit reports that the work commits writes on the primary, or begins a
+	// transaction there that may, so that it has to wait for the end of a stop of writes.
+	mayCommit bool
 	// prepared is the prepared statement that the statement executes; nil if none.
 	prepared *preparedStatement
 	// peer names the proxy that the statement was forwarded to, forwarded reports that it
@@ -299,7 +302,13 @@
 // another primary. Once sent, the member's reply determines the outcome, which is unknown
 // without a reply.
 func (session *session) write(statement ebonywood.Statement, attempt *attempt) ebonywood.Reply {
+	attempt.mayCommit = true
+	instance := attempt.route.Instances()[0]
 	return session.runOnPrimary(attempt, "write", func(lease *lease) (ebonywood.Reply, attemptOutcome) {
+		if !session.edge.writeGate(instance).enter() {
+			return heldReply(ebonywood.TxIdle), outcomeHeld
+		}
+		defer session.edge.leaveWrites(instance)
 		sentAt := session.edge.now()
 		replies, err := lease.execute(session, attempt, statement)
 		if errors.Is(err, errNoSlot) {
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -47,6 +47,7 @@
 	mutex         sync.Mutex
 	pools         map[ebonywood.MemberID]*pool
 	primaryStates map[ebonywood.InstanceID]*primaryState
+	writeGates    map[ebonywood.InstanceID]*writeGate
 	peers         map[ebonywood.PeerView]*peer
 	// inTransaction holds the sessions with an open transaction.
 	inTransaction map[*session]struct{}
@@ -94,6 +95,7 @@
 		port: port, limits: port.Settings().Limits(), group: rungroup.New(context.Background()),
 		pools:         map[ebonywood.MemberID]*pool{},
 		primaryStates: map[ebonywood.InstanceID]*primaryState{},
+		writeGates:    map[ebonywood.InstanceID]*writeGate{},
 		peers:         map[ebonywood.PeerView]*peer{},
 		inTransaction: map[*session]struct{}{},
 		counters:      newCounters(port.Metrics(), port.Log(), port.Settings().Limits().Count(ebonywood.LimitRequestLinesPerSecond)),
@@ -119,8 +121,8 @@
 	return edge.group.Wait()
 }
 
-// Perform starts the queries to members that the control loop requests, and reports
-// whether the action is one of them.
+// Perform starts the queries to members that the control loop requests, and stops and
+// resumes writes. It reports whether the action is one of these.
 func (edge *Edge) Perform(action ebonywood.Action) bool {
 	switch action := action.(type) {
 	case ebonywood.ProbePrimary:
@@ -133,6 +135,10 @@
 			edge.pool(action.Instance(), action.Member()).queryStatus()
 			return nil
 		})
+	case ebonywood.StopWrites:
+		edge.stopWrites(action.Stop())
+	case ebonywood.ResumeWrites:
+		edge.writeGate(action.Instance()).open()
 	default:
 		return false
 	}
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -137,6 +137,7 @@
 func (session *session) openOnMember(attempt *attempt) ebonywood.Reply {
 	tx := session.tx
 	if !tx.readOnly || tx.route.Policy().MaxAge() == 0 {
+		attempt.mayCommit = !tx.readOnly
 		return session.runOnPrimary(attempt, "transaction", func(lease *lease) (ebonywood.Reply, attemptOutcome) {
 			reply, outcome := session.beginOn(lease, attempt, beginStatement)
 			return reply, session.keepLease(lease, reply, outcome)
@@ -233,9 +234,19 @@
 }
 
 // sendCommit sends the commit on the transaction's connection, again after a backoff
-// while the member has no free slot, and releases the connection.
+// while the member has no free slot, and releases the connection. While writes are stopped,
+// a transaction that wrote is rolled back at once: the member that becomes the primary
+// does not have it.
 func (session *session) sendCommit(statement ebonywood.Statement, attempt *attempt) ebonywood.Reply {
 	tx := session.tx
+	if tx.wrote {
+		instance := tx.route.Instances()[0]
+		if !session.edge.writeGate(instance).enter() {
+			session.rollBack()
+			return heldReply(ebonywood.TxIdle)
+		}
+		defer session.edge.leaveWrites(instance)
+	}
 	for {
 		attempt.tries++
 		sentAt := session.edge.now()
--- a/succession.go
+++ b/succession.go
@@ -181,6 +181,81 @@
 
 func (PromotionEnded) isEvent() {}
 
+// WriteStop identifies one stop of the writes to an instance: while the holder of the
+// duty replaces a primary that still runs, no proxy sends writes to it.
+type WriteStop struct {
+	instance InstanceID
+	token    int64
+	round    int64
+}
+
+// NewWriteStop returns a stop that the holder of the duty requests; token is its fencing
+// token, round counts its requests. Together they increase from each request to the next.
+func NewWriteStop(instance InstanceID, token, round int64) WriteStop {
+	return WriteStop{instance: instance, token: token, round: round}
+}
+
+// Instance returns the instance.
+func (stop WriteStop) Instance() InstanceID { return stop.instance }
+
+// Token returns the fencing token of the proxy that requests the stop.
+func (stop WriteStop) Token() int64 { return stop.token }
+
+// Round returns the number of the request.
+func (stop WriteStop) Round() int64 { return stop.round }
+
+// IsZero reports whether this is the zero value, which stands for no stop.
+func (stop WriteStop) IsZero() bool { return stop == WriteStop{} }
+
+// IsBefore reports whether the stop was requested before other.
+func (stop WriteStop) IsBefore(other WriteStop) bool {
+	if stop.token != other.token {
+		return stop.token < other.token
+	}
+	return stop.round < other.round
+}
+
+// StopWrites makes this process send no further writes to the instance, until
+// ResumeWrites. WritesStopped follows once no write is in flight.
+type StopWrites struct {
+	stop WriteStop
+}
+
+// NewStopWrites returns the action.
+func NewStopWrites(stop WriteStop) StopWrites { return StopWrites{stop: stop} }
+
+// Stop returns the stop that is requested.
+func (action StopWrites) Stop() WriteStop { return action.stop }
+
+func (StopWrites) isAction() {}
+
+// ResumeWrites ends a stop of the writes to an instance.
+type ResumeWrites struct {
+	instance InstanceID
+}
+
+// NewResumeWrites returns the action.
+func NewResumeWrites(instance InstanceID) ResumeWrites { return ResumeWrites{instance: instance} }
+
+// Instance returns the instance.
+func (action ResumeWrites) Instance() InstanceID { return action.instance }
+
+func (ResumeWrites) isAction() {}
+
+// WritesStopped reports that this process has no write to the instance in flight, and
+// sends none until the stop ends.
+type WritesStopped struct {
+	stop WriteStop
+}
+
+// NewWritesStopped returns the event.
+func NewWritesStopped(stop WriteStop) WritesStopped { return WritesStopped{stop: stop} }
+
+// Stop returns the stop that was requested.
+func (event WritesStopped) Stop() WriteStop { return event.stop }
+
+func (WritesStopped) isEvent() {}
+
 // LogMessage makes the kernel log a message, such as a change in the state that a
 // decision holds.
 type LogMessage struct {
