Sessions: send a leaving primary no new work after its drain period

Cause: the choice of the primary did not look at its leaving at all; the bound held only because a promotion usually comes in time. Evidence: changeBegins reason=leaving follows the report at once, promoteEnded names the refusals, and the writes that ran late were sent late. Change: the view says until when a leaving primary may get new work. It is checked when a primary is chosen, bounds the waits for a connection and a slot, and is checked again when a statement has its slot; in a transaction until its first statement was sent. The period counts from the last time up to which all changes of the store are known. Why it works: that time is never later than the acceptance of the report.

--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -46,6 +46,9 @@
 type memberState struct {
 	listed      ebonywood.ListedMember
 	unreachable bool
+	// workUntil is the time from which the member, which is leaving, must get no new work;
+	// 0 if it is not leaving.
+	workUntil ebonywood.Millis
 }
 
 func (instance *instanceState) findMember(id ebonywood.MemberID) *memberState {
@@ -70,8 +73,9 @@
 }
 
 // setMembers replaces the members by those of the directory's list. In a watched
-// instance, a member that newly claims to be primary is probed immediately.
-func (instance *instanceState) setMembers(now ebonywood.Millis, listed []ebonywood.ListedMember) []ebonywood.Action {
+// instance, a member that newly claims to be primary is probed immediately. A member that
+// is newly leaving must get no new work from workUntil on.
+func (instance *instanceState) setMembers(now ebonywood.Millis, listed []ebonywood.ListedMember, workUntil ebonywood.Millis) []ebonywood.Action {
 	var actions []ebonywood.Action
 	members := make([]*memberState, 0, len(listed))
 	for _, entry := range listed {
@@ -80,6 +84,12 @@
 		if previous != nil && previous.listed.Member().Address() == entry.Member().Address() {
 			member.unreachable = previous.unreachable
 		}
+		if entry.Member().IsLeaving() {
+			member.workUntil = workUntil
+			if previous != nil && previous.workUntil > 0 {
+				member.workUntil = previous.workUntil
+			}
+		}
 		claims := entry.ClaimsPrimary() && (previous == nil || !previous.listed.ClaimsPrimary())
 		if instance.watched && claims && entry.Member().ID() != instance.primary {
 			actions = append(actions, ebonywood.NewProbePrimary(instance.id, entry.Member()))
@@ -240,15 +250,18 @@
 	if instance.cachedView != nil {
 		return instance.cachedView
 	}
-	primary := instance.primary
-	if instance.isPrimaryUnreachable() || instance.findMember(primary) == nil {
+	primary, primaryUntil := instance.primary, ebonywood.Millis(0)
+	if member := instance.findMember(primary); member == nil || member.unreachable {
 		primary = ""
+	} else {
+		primaryUntil = member.workUntil
 	}
 	views := make([]ebonywood.MemberView, 0, len(instance.members))
 	for _, member := range instance.members {
 		views = append(views, ebonywood.NewMemberView(member.listed.Member(), ebonywood.Position{}, 0, 0, !member.unreachable))
 	}
 	holdingWrites := !instance.writes.current.IsZero()
-	instance.cachedView = ebonywood.NewInstanceView(instance.id, instance.term, primary, holdingWrites, views, nil).WithPrimaryLostAt(instance.lostAt)
+	instance.cachedView = ebonywood.NewInstanceView(instance.id, instance.term, primary, holdingWrites, views, nil).
+		WithPrimaryLostAt(instance.lostAt).WithPrimaryUntil(primaryUntil)
 	return instance.cachedView
 }
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -26,10 +26,20 @@
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
-		return New(settings.Name(), settings.Limits())
+		decision := New(settings.Name(), settings.Limits())
+		if drains, ok := settings.(drainSettings); ok {
+			decision.memberDrainPeriod = drains.MemberDrainPeriod()
+		}
+		return decision
 	})
 }
 
+// drainSettings is implemented by settings that say how long after a member reported that
+// it is leaving it may get new work.
+type drainSettings interface {
+	MemberDrainPeriod() ebonywood.Millis
+}
+
 const (
 	// probeInterval is the minimum time between two rounds of probes for an instance's
 	// primary.
@@ -43,6 +53,9 @@
 	// unlistedTimeout is the time after which a primary missing from the directory's
 	// list is replaced.
 	unlistedTimeout ebonywood.Millis = 600
+	// drainMargin is the part of a member's drain period in which it gets no new work any
+	// more, for the way of a statement to the member.
+	drainMargin ebonywood.Millis = 250
 )
 
 // Succession is the decision that tracks primaries and runs failovers.
@@ -61,6 +74,12 @@
 	unreachablePeers map[ebonywood.PeerView]ebonywood.Millis
 	// token is the fencing token while this process holds the duty, 0 otherwise.
 	token int64
+	// memberDrainPeriod is how long after it was reported a leaving member may get new
+	// work; 0 if there is no limit.
+	memberDrainPeriod ebonywood.Millis
+	// confirmedAsOf is the time up to which every change of the directory has been
+	// received; 0 if none is known.
+	confirmedAsOf ebonywood.Millis
 	// refusedToken is the last token that the platform refused.
 	refusedToken         int64
 	directoryUnavailable bool
@@ -91,6 +110,8 @@
 		return decision.setMembers(now, event.Members())
 	case ebonywood.ObjectSetApplied:
 		decision.applyObjectSet(now, event.ObjectSet())
+	case ebonywood.ConfigurationConfirmed:
+		decision.confirmedAsOf = max(decision.confirmedAsOf, event.AsOf())
 	case ebonywood.ProxyReportsListed:
 		return decision.setReports(now, event.Reports())
 	case ebonywood.WritesStopped:
@@ -197,11 +218,26 @@
 	}
 	var actions []ebonywood.Action
 	for id, instance := range decision.instances {
-		actions = append(actions, instance.setMembers(now, byInstance[id])...)
+		actions = append(actions, instance.setMembers(now, byInstance[id], decision.workUntil())...)
 	}
 	return append(actions, decision.announceSuspects()...)
 }
 
+// workUntil returns the time from which a member must get no new work that this process
+// now learns to be leaving; 0 if there is no limit. The member may have reported it at any
+// time after the last one up to which all changes are known. If there is none, it may have
+// left the whole period behind.
+func (decision *Succession) workUntil() ebonywood.Millis {
+	switch {
+	case decision.memberDrainPeriod == 0:
+		return 0
+	case decision.confirmedAsOf == 0:
+		return 1
+	default:
+		return max(1, decision.confirmedAsOf+decision.memberDrainPeriod-drainMargin)
+	}
+}
+
 // applyObjectSet adds the configured instances and sets their number of synchronous
 // replicas.
 func (decision *Succession) applyObjectSet(now ebonywood.Millis, set *ebonywood.ObjectSet) {
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -426,6 +426,38 @@
 	require.Equal(t, third, driver.orders()[0].Member())
 }
 
+// TestLeavingPrimaryIsUsedForItsDrainPeriod checks the time from which a leaving primary
+// gets no new work: it counts from the last moment at which it was known not to be leaving.
+func TestLeavingPrimaryIsUsedForItsDrainPeriod(t *testing.T) {
+	const period ebonywood.Millis = 7000
+	driver := newDriver(t)
+	driver.decision.memberDrainPeriod = period
+	require.Zero(t, driver.view().PrimaryUntil())
+	driver.send(ebonywood.NewConfigurationConfirmed(900))
+	driver.leave()
+	until := 900 + period - drainMargin
+	require.Equal(t, until, driver.view().PrimaryUntil())
+	driver.send(ebonywood.NewConfigurationConfirmed(2000))
+	driver.leave()
+	require.Equal(t, until, driver.view().PrimaryUntil(), "a later list does not extend it")
+	require.True(t, driver.view().AcceptsWork(until-1))
+	require.False(t, driver.view().AcceptsWork(until))
+	require.Equal(t, first, driver.view().Primary(), "its samples are still needed")
+	driver.send(ebonywood.NewMembersListed([]ebonywood.ListedMember{listed(first, false), listed(second, false), listed(third, false)}))
+	require.Zero(t, driver.view().PrimaryUntil(), "it is not leaving any more")
+	driver.send(ebonywood.NewPrimaryObserved(db, second, 2))
+	require.Zero(t, driver.view().PrimaryUntil())
+}
+
+// TestPrimaryThatLeftBeforeTheStart checks that a process gives no new work to a primary of
+// whose drain it does not know the start.
+func TestPrimaryThatLeftBeforeTheStart(t *testing.T) {
+	driver := newDriver(t)
+	driver.decision.memberDrainPeriod = 7000
+	driver.leave()
+	require.False(t, driver.view().AcceptsWork(driver.now))
+}
+
 func TestOlderTermIsIgnored(t *testing.T) {
 	driver := newDriver(t)
 	driver.send(ebonywood.NewPrimaryObserved(db, second, 3))
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -46,6 +46,30 @@
 // Statements of paid routes, and of routes without a latency objective, wait until their
 // deadline.
 func (attempt *attempt) waitDeadline(now time.Time) time.Time {
+	return attempt.whileWorkIsAccepted(attempt.objectiveDeadline(now))
+}
+
+// whileWorkIsAccepted returns the latest time at which the work may still be sent: the
+// given one, or workUntil if that is earlier.
+func (attempt *attempt) whileWorkIsAccepted(latest time.Time) time.Time {
+	if attempt.workUntil == 0 {
+		return latest
+	}
+	left := (attempt.workUntil - attempt.edge.now()).Duration()
+	if end := time.Now().Add(left); end.Before(latest) {
+		return end
+	}
+	return latest
+}
+
+// isTooLateToSend reports whether the member is leaving and must get no new work any more.
+func (attempt *attempt) isTooLateToSend() bool {
+	return attempt.workUntil > 0 && attempt.edge.now() >= attempt.workUntil
+}
+
+// objectiveDeadline returns the time until which the statement may wait for a connection
+// under its route.
+func (attempt *attempt) objectiveDeadline(now time.Time) time.Time {
 	latencyObjective := attempt.route.Objective().Latency().Duration()
 	if latencyObjective <= 0 || attempt.route.IsPaid() {
 		return attempt.deadline
@@ -90,11 +114,12 @@
 		if attempt.mayCommit && !session.edge.awaitWrites(attempt.awaited, id, attempt.deadline) {
 			return heldReply(ebonywood.TxIdle)
 		}
-		pool, fault := session.edge.primaryPool(id, attempt.deadline)
+		pool, workUntil, fault := session.edge.primaryPool(id, attempt.deadline)
 		if fault != nil {
 			return failure(ebonywood.CodeBusy, fault.Message())
 		}
 		attempt.member = pool.member.ID()
+		attempt.workUntil = workUntil
 		lease, fault := pool.lease(attempt, shape(attempt.route, kind))
 		if fault != nil {
 			reply = failure(ebonywood.CodeBusy, fault.Message())
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -22,41 +22,47 @@
 	recentWriteWindow ebonywood.Millis = 60
 )
 
-// primaryPool returns the pool of the instance's primary. Without a primary it waits for
-// one until the deadline, but no longer than LimitHoldForPrimary after the primary was
-// lost. The fault is KindOverload.
-func (edge *Edge) primaryPool(id ebonywood.InstanceID, deadline time.Time) (*pool, *ebonywood.Fault) {
+// primaryPool returns the pool of the instance's primary, and the time until which new
+// work may be sent to it, 0 without a limit. Without a primary that may get new work it
+// waits for one until the deadline, but no longer than LimitHoldForPrimary after the
+// primary was lost or had to be left alone. The fault is KindOverload.
+func (edge *Edge) primaryPool(id ebonywood.InstanceID, deadline time.Time) (*pool, ebonywood.Millis, *ebonywood.Fault) {
 	for {
 		view, found := edge.port.Snapshot().View(id)
 		if !found {
 			view = &ebonywood.InstanceView{}
 		}
-		if member, found := view.Member(view.Primary()); found {
-			return edge.pool(id, member.Member()), nil
+		member, found := view.Member(view.Primary())
+		if found && view.AcceptsWork(edge.now()) {
+			return edge.pool(id, member.Member()), view.PrimaryUntil(), nil
 		}
-		lostFor := edge.now() - view.PrimaryLostAt()
+		lostFor := edge.now() - max(view.PrimaryLostAt(), view.PrimaryUntil())
 		left := min(time.Until(deadline), (edge.limits.Millis(ebonywood.LimitHoldForPrimary) - lostFor).Duration())
 		if left <= 0 {
-			return nil, noPrimaryFault(id)
+			return nil, 0, noPrimaryFault(view, id)
 		}
 		edge.awaitPrimary(id, left)
 	}
 }
 
-// awaitPrimary waits until the snapshot names a primary of the instance or no longer has
-// the instance, or until the timeout has passed.
+// awaitPrimary waits until the snapshot names a primary of the instance that may get new
+// work or no longer has the instance, or until the timeout has passed.
 func (edge *Edge) awaitPrimary(id ebonywood.InstanceID, timeout time.Duration) {
 	ctx, cancel := context.WithTimeout(edge.group.Context(), timeout)
 	defer cancel()
 	_, _ = edge.port.Await(ctx, func(snapshot *ebonywood.Snapshot) bool {
 		view, found := snapshot.View(id)
-		return !found || view.Primary() != ""
+		return !found || view.AcceptsWork(edge.now())
 	})
 }
 
-func noPrimaryFault(id ebonywood.InstanceID) *ebonywood.Fault {
-	return ebonywood.NewFault(ebonywood.KindOverload, fmt.Sprintf("%s has no primary", id),
-		"send the request again; it was not run")
+// noPrimaryFault returns the fault for work that no primary may get.
+func noPrimaryFault(view *ebonywood.InstanceView, id ebonywood.InstanceID) *ebonywood.Fault {
+	message := fmt.Sprintf("%s has no primary", id)
+	if view.Primary() != "" {
+		message = fmt.Sprintf("%s has no primary: the drain period of %s is over", id, view.Primary())
+	}
+	return ebonywood.NewFault(ebonywood.KindOverload, message, "send the request again; it was not run")
 }
 
 // chooseReader returns the pool of the member with the shortest expected wait among those
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -62,15 +62,19 @@
 
 // attempt is the state of one statement while it is being served, over all its tries.
 type attempt struct {
+	edge      *Edge
 	route     *ebonywood.Route
 	startedAt time.Time
 	// asOf is the time from which a read's allowed staleness is measured.
 	asOf     ebonywood.Millis
 	deadline time.Time
-	floor    ebonywood.Position
-	member   ebonywood.MemberID
-	tries    int
-	writes   bool
+	// workUntil is the time from which the member must get no new work, since it is
+	// leaving; 0 without a limit, and for statements that continue a transaction.
+	workUntil ebonywood.Millis
+	floor     ebonywood.Position
+	member    ebonywood.MemberID
+	tries     int
+	writes    bool
 	// mayCommit reports that the work commits writes on the primary, or begins a
 	// transaction there that may, so that it has to wait for the end of a stop of writes.
 	mayCommit bool
@@ -242,8 +246,8 @@
 		awaited = session.edge.group.Context()
 	}
 	return &attempt{
-		awaited: awaited,
-		route:   route, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
+		edge: session.edge, awaited: awaited,
+		route: route, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
 }
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -36,20 +36,25 @@
 	inTx := session.tx != nil
 	waitUntil, deadline := attempt.waitDeadline(time.Now()), attempt.deadline
 	if inTx {
-		waitUntil, deadline = attempt.deadline, attempt.deadline.Add(maxExpectedCost)
+		waitUntil, deadline = attempt.whileWorkIsAccepted(attempt.deadline), attempt.deadline.Add(maxExpectedCost)
 	}
 	ticket, _, err := lease.pool.slots.Acquire(attempt.awaited, attempt.route, slotShape, expected, true, deadline, waitUntil)
 	if err != nil {
 		return nil, errors.CombineErrors(errNoSlot, err)
 	}
+	if attempt.isTooLateToSend() {
+		lease.pool.slots.Release(ticket, 0)
+		return nil, errNoSlot
+	}
 	startedAt := time.Now()
 	run := lease.run
 	if !inTx && !attempt.writes {
 		run = lease.runRepeatable
 	}
 	setup := lease.setupFor(session, attempt.prepared)
-	if inTx && len(setup) > 0 {
-		session.tx.settingsChanged = true
+	if inTx {
+		session.tx.workUntil = 0
+		session.tx.settingsChanged = session.tx.settingsChanged || len(setup) > 0
 	}
 	replies, err := run(setup, attempt.remaining(), statements...)
 	elapsed := time.Since(startedAt)
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -28,6 +28,9 @@
 	peerConn ebonywood.PeerConn
 	peer     *peer
 	wrote    bool
+	// workUntil is the time from which the transaction's member must get no new work, until
+	// the first statement is sent to it; 0 afterwards, and without a limit.
+	workUntil ebonywood.Millis
 	// settingsChanged reports that settings were sent inside the transaction, so that the
 	// connection's settings are unknown after a rollback.
 	settingsChanged bool
@@ -126,6 +129,7 @@
 		}
 	}
 	tx.wrote = tx.wrote || attempt.writes
+	attempt.workUntil = tx.workUntil
 	reply := session.sendStep(resolved, attempt)
 	session.edge.account(statement, attempt, reply)
 	return reply
@@ -140,7 +144,7 @@
 		attempt.mayCommit = !tx.readOnly
 		return session.runOnPrimary(attempt, "transaction", func(lease *lease) (ebonywood.Reply, attemptOutcome) {
 			reply, outcome := session.beginOn(lease, attempt, beginStatement)
-			return reply, session.keepLease(lease, reply, outcome)
+			return reply, session.keepLease(attempt, lease, reply, outcome)
 		})
 	}
 	view, found := session.edge.port.Snapshot().View(tx.route.Instances()[0])
@@ -150,7 +154,7 @@
 	attempt.asOf = tx.startedAt
 	reply := session.runOnReader(view, attempt, func(lease *lease) (ebonywood.Reply, attemptOutcome) {
 		reply, outcome := session.beginOn(lease, attempt, beginReadStatement.WithFloor(attempt.floor))
-		return reply, session.keepLease(lease, reply, outcome)
+		return reply, session.keepLease(attempt, lease, reply, outcome)
 	})
 	if reply.Code() == ebonywood.CodeLagging {
 		tx.readOnly = false
@@ -161,9 +165,9 @@
 
 // keepLease assigns the lease to the transaction if the transaction was begun on it, and
 // returns the outcome unchanged.
-func (session *session) keepLease(lease *lease, reply ebonywood.Reply, outcome attemptOutcome) attemptOutcome {
+func (session *session) keepLease(attempt *attempt, lease *lease, reply ebonywood.Reply, outcome attemptOutcome) attemptOutcome {
 	if outcome == outcomeFinal && reply.Code() == ebonywood.CodeDone {
-		session.tx.lease = lease
+		session.tx.lease, session.tx.workUntil = lease, attempt.workUntil
 	}
 	return outcome
 }
@@ -176,6 +180,11 @@
 		attempt.tries++
 		attempt.member = tx.lease.pool.member.ID()
 		replies, err := tx.lease.execute(session, attempt, statement)
+		if errors.Is(err, errNoSlot) && attempt.isTooLateToSend() {
+			session.rollBack()
+			session.markFailed()
+			return noSlotReply(ebonywood.TxFailed)
+		}
 		if errors.Is(err, errNoSlot) {
 			return noSlotReply(ebonywood.TxOpen)
 		}
@@ -227,6 +236,7 @@
 	}
 	pool := tx.lease.pool
 	attempt.member = pool.member.ID()
+	attempt.workUntil = tx.workUntil
 	reply := session.sendCommit(statement, attempt)
 	session.clearTransaction()
 	session.edge.account(statement, attempt, reply)
--- a/snapshot.go
+++ b/snapshot.go
@@ -62,6 +62,7 @@
 	members       []MemberView
 	proofs        []Proof
 	primaryLostAt Millis
+	primaryUntil  Millis
 }
 
 // NewInstanceView returns a view. primary is empty while none is known;
@@ -83,6 +84,23 @@
 // 0 while it is reachable.
 func (view *InstanceView) PrimaryLostAt() Millis { return view.primaryLostAt }
 
+// WithPrimaryUntil returns the view with the time from which its primary, which is
+// leaving, must get no new work; 0 if it is not leaving.
+func (view *InstanceView) WithPrimaryUntil(until Millis) *InstanceView {
+	changed := *view
+	changed.primaryUntil = until
+	return &changed
+}
+
+// PrimaryUntil returns the time from which the primary must get no new work; 0 if it is
+// not leaving.
+func (view *InstanceView) PrimaryUntil() Millis { return view.primaryUntil }
+
+// AcceptsWork reports whether there is a primary that may get new work at a time.
+func (view *InstanceView) AcceptsWork(now Millis) bool {
+	return view.primary != "" && (view.primaryUntil == 0 || now < view.primaryUntil)
+}
+
 // ID returns the instance's identifier.
 func (view *InstanceView) ID() InstanceID { return view.id }
 
