Succession: pause the replicas before a failover with synchronous replicas

Change: before the order all members that may confirm a commit are paused, and only their replies to that count. A pause without a promotion is ended by the holder of the duty, after a fencing order if an earlier order may still take effect; a new holder does so once. Tests: TestSyncReplicasRequireEveryPossibleHolder asked for an order right after the first replies, which is what was wrong; it asks for the pause of every possible holder now, and as before for the replies of all. TestLeavingReplicaMayHoldCommits likewise.

--- a/internal/decision/succession/failover.go
+++ b/internal/decision/succession/failover.go
@@ -27,6 +27,9 @@
 	// phaseStoppingWrites waits until the proxies have stopped their writes. It precedes
 	// phaseCollecting in a switchover.
 	phaseStoppingWrites
+	// phasePausing waits until the members that may hold commits receive nothing more. It
+	// follows phaseCollecting with synchronous replicas whose primary may still run.
+	phasePausing
 	// phasePromoting waits until the ordered promotion takes effect.
 	phasePromoting
 	// phaseBackoff waits after a refused promotion or a postponed switchover.
@@ -44,6 +47,8 @@
 	stopRequestedAt ebonywood.Millis
 	// backoff is how long phaseBackoff lasts.
 	backoff ebonywood.Millis
+	// pauseTerm is the term with which the members are paused, in phasePausing.
+	pauseTerm ebonywood.Term
 	// replies has the replies of the current round, queried is the number of members
 	// that were queried in it.
 	replies map[ebonywood.MemberID]ebonywood.ReplicationStatus
@@ -113,7 +118,7 @@
 // recordReplicationStatus stores a candidate's reply to the current round. Failed queries
 // are ignored.
 func (instance *instanceState) recordReplicationStatus(event ebonywood.ReplicationStatusReceived) []ebonywood.Action {
-	if instance.failover == nil || instance.failover.phase != phaseCollecting || event.Fault() != nil {
+	if instance.failover == nil || !instance.failover.awaitsReply(event.PausedAt()) || event.Fault() != nil {
 		return nil
 	}
 	instance.failover.replies[event.Member()] = event.Status()
@@ -127,7 +132,9 @@
 	elapsed := now - failover.phaseStartedAt
 	switch failover.phase {
 	case phaseCollecting:
-		return instance.promoteBest(now, token)
+		return instance.concludeQuery(now, token)
+	case phasePausing:
+		return instance.concludePause(now, token)
 	case phasePromoting:
 		if elapsed < promotionTimeout {
 			return nil
@@ -144,9 +151,10 @@
 	return nil
 }
 
-// promoteBest promotes the most advanced member once enough replies have arrived. If
-// there are too few after queryTimeout, it starts another round.
-func (instance *instanceState) promoteBest(now ebonywood.Millis, token int64) []ebonywood.Action {
+// concludeQuery promotes the most advanced member, or pauses the members first, once
+// enough replies have arrived. If there are too few after queryTimeout, it starts another
+// round.
+func (instance *instanceState) concludeQuery(now ebonywood.Millis, token int64) []ebonywood.Action {
 	failover := instance.failover
 	timedOut := now-failover.phaseStartedAt >= queryTimeout
 	if len(failover.replies) < failover.queried && !timedOut {
@@ -164,7 +172,17 @@
 		}
 		return nil
 	}
+	if instance.syncReplicas > 0 && failover.stop.IsZero() {
+		return instance.pauseMembers(now)
+	}
+	return instance.promote(now, best, position, token)
+}
+
+// promote orders the promotion of a member with a received position.
+func (instance *instanceState) promote(now ebonywood.Millis, best ebonywood.MemberID, position ebonywood.Position, token int64) []ebonywood.Action {
+	failover := instance.failover
 	failover.order = ebonywood.NewPromoteMember(instance.id, best, token)
+	instance.pause.orderToken = token
 	failover.phase, failover.phaseStartedAt = phasePromoting, now
 	return []ebonywood.Action{
 		failover.order,
@@ -278,6 +296,8 @@
 		return []ebonywood.Action{logMessage}
 	}
 	switch {
+	case fault == nil && instance.failover.reason == reasonUnsettled:
+		instance.failover, instance.pause.orderToken = nil, 0
 	case fault == nil:
 		instance.failover.phaseStartedAt = now
 	case fault.Kind() == ebonywood.KindConflict:
--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -15,6 +15,9 @@
 	reasonLeaving   failoverReason = "leaving"
 	reasonDead      failoverReason = "dead"
 	reasonNoPrimary failoverReason = "leaderless"
+	// reasonUnsettled is an earlier order that may still take effect, which an order for the
+	// present primary fences.
+	reasonUnsettled failoverReason = "unsettled"
 )
 
 // instanceState is the locally held state of one instance.
@@ -38,6 +41,8 @@
 	failover *failover
 	// writes is the stop of writes that is in force in this process.
 	writes writeStopState
+	// pause is what this process knows of paused members.
+	pause pauseState
 	// cachedView is the last published view, nil if it is out of date.
 	cachedView *ebonywood.InstanceView
 }
@@ -126,6 +131,9 @@
 	message := "primary"
 	if event.Member() == instance.primary {
 		message = "term"
+	} else if instance.failover != nil && instance.failover.order.Member() == event.Member() {
+		// The promotion ended the pauses.
+		instance.pause = pauseState{}
 	}
 	instance.primary, instance.term = event.Member(), event.Term()
 	instance.lostAt, instance.unlistedAt = 0, 0
--- a/internal/decision/succession/succession.go
+++ b/internal/decision/succession/succession.go
@@ -163,12 +163,17 @@
 // setDuty stores the fencing token and discards all failovers in progress, since the
 // platform refuses orders with an earlier token from now on.
 func (decision *Succession) setDuty(now ebonywood.Millis, event ebonywood.DutyChanged) []ebonywood.Action {
+	wasHeld := decision.token != 0
 	decision.token = 0
 	if event.IsHeld() {
 		decision.token = event.Token()
 	}
 	for _, instance := range decision.instances {
 		instance.failover = nil
+		if event.IsHeld() && !wasHeld {
+			// The former holder may have left paused members and an order behind.
+			instance.pause = pauseState{active: true, orderToken: event.Token() - 1}
+		}
 	}
 	decision.updateWatched(now)
 	return []ebonywood.Action{ebonywood.NewLogMessage("duty", "held", event.IsHeld(), "token", event.Token())}
@@ -288,6 +293,9 @@
 		if instance.failover == nil {
 			actions = append(actions, decision.startFailover(now, instance)...)
 		}
+		if instance.failover == nil {
+			actions = append(actions, decision.settlePause(now, instance)...)
+		}
 		if instance.failover != nil {
 			actions = append(actions, decision.advanceFailover(now, instance)...)
 		}
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -82,6 +82,22 @@
 	}
 }
 
+// replyPaused sends the replies of members that were paused with a term.
+func (driver *testDriver) replyPaused(term ebonywood.Term, received map[ebonywood.MemberID]uint64) {
+	for id, offset := range received {
+		status := ebonywood.NewReplicationStatus(false, 1, ebonywood.NewPosition(1, offset), 0, 1)
+		driver.send(ebonywood.NewReplicationStatusReceived(db, id, status, nil).WithPause(term))
+	}
+}
+
+// settleDuty answers the order with which a new holder of the duty begins.
+func (driver *testDriver) settleDuty() {
+	driver.advance(50)
+	driver.send(ebonywood.NewPromotionEnded(driver.orders()[0], nil))
+	driver.advance(50)
+	driver.actions = nil
+}
+
 func (driver *testDriver) orders() []ebonywood.PromoteMember {
 	var orders []ebonywood.PromoteMember
 	for _, action := range driver.actions {
@@ -230,7 +246,112 @@
 	require.Empty(t, driver.orders())
 	driver.reply(map[ebonywood.MemberID]uint64{second: 5, third: 6})
 	driver.advance(50)
-	require.Equal(t, third, driver.orders()[0].Member())
+	require.Empty(t, driver.orders(), "the primary may still run")
+	driver.replyPaused(2, map[ebonywood.MemberID]uint64{second: 7})
+	driver.advance(50)
+	require.Empty(t, driver.orders(), "the third may confirm further commits")
+	driver.replyPaused(2, map[ebonywood.MemberID]uint64{third: 6})
+	driver.advance(50)
+	require.Equal(t, second, driver.orders()[0].Member())
+}
+
+// pauses returns the members that were to be paused, with the term.
+func (driver *testDriver) pauses() map[ebonywood.MemberID]ebonywood.Term {
+	paused := map[ebonywood.MemberID]ebonywood.Term{}
+	for _, query := range actionsOf[ebonywood.QueryReplicationStatus](driver) {
+		if query.PauseAt() > 0 {
+			paused[query.Member().ID()] = query.PauseAt()
+		}
+	}
+	return paused
+}
+
+// failPrimary makes a majority take the primary for dead and the replicas reply, up to the
+// pause of the replicas.
+func (driver *testDriver) failPrimary() {
+	driver.report([]ebonywood.MemberID{first}, []ebonywood.MemberID{first})
+	driver.advance(50)
+	driver.reply(map[ebonywood.MemberID]uint64{second: 5, third: 6})
+	driver.advance(50)
+}
+
+// recoverPrimary makes no proxy suspect the primary any more.
+func (driver *testDriver) recoverPrimary() {
+	driver.report(nil, nil)
+}
+
+// TestFailoverPausesReplicas guards against LOST: a primary that is taken for dead may run
+// and commit on, confirmed by a replica that is not promoted. A reply from before the pause
+// proves nothing.
+func TestFailoverPausesReplicas(t *testing.T) {
+	driver := newSyncedDriver(t)
+	driver.failPrimary()
+	require.Equal(t, map[ebonywood.MemberID]ebonywood.Term{second: 2, third: 2}, driver.pauses())
+	driver.reply(map[ebonywood.MemberID]uint64{second: 5, third: 6})
+	driver.advance(50)
+	require.Empty(t, driver.orders(), "the replies are not those of paused members")
+	driver.replyPaused(2, map[ebonywood.MemberID]uint64{second: 8, third: 6})
+	driver.advance(50)
+	require.Equal(t, second, driver.orders()[0].Member())
+	driver.send(ebonywood.NewPrimaryObserved(db, second, 2))
+	driver.recoverPrimary()
+	driver.advance(5000)
+	require.Empty(t, actionsOf[ebonywood.ResumeReplication](driver), "the promotion ended the pause")
+	require.Len(t, driver.orders(), 1)
+}
+
+// TestPauseWithoutOrderIsEnded checks that the replicas are resumed if the primary turns out
+// to be alive before a promotion was ordered.
+func TestPauseWithoutOrderIsEnded(t *testing.T) {
+	driver := newSyncedDriver(t)
+	driver.settleDuty()
+	driver.failPrimary()
+	driver.recoverPrimary()
+	driver.send(ebonywood.NewPrimaryObserved(db, first, 2))
+	driver.advance(200)
+	require.Len(t, actionsOf[ebonywood.ResumeReplication](driver), 3)
+	require.Empty(t, driver.orders())
+}
+
+// TestUnansweredOrderIsFencedBeforeTheResume checks that replicas are not resumed while an
+// order may still take effect: a greater token first orders the present primary.
+func TestUnansweredOrderIsFencedBeforeTheResume(t *testing.T) {
+	driver := newSyncedDriver(t)
+	driver.settleDuty()
+	driver.failPrimary()
+	driver.replyPaused(2, map[ebonywood.MemberID]uint64{second: 5, third: 6})
+	driver.advance(50)
+	lost := driver.orders()[0]
+	require.Equal(t, third, lost.Member())
+	driver.send(ebonywood.NewPromotionEnded(lost, ebonywood.NewFault(ebonywood.KindUnavailable, "no reply", "")))
+	driver.recoverPrimary()
+	driver.send(ebonywood.NewPrimaryObserved(db, first, 2))
+	driver.advance(promotionTimeout)
+	require.Empty(t, actionsOf[ebonywood.ResumeReplication](driver))
+	require.Positive(t, driver.renewals())
+	driver.send(ebonywood.NewDutyChanged(true, token+5))
+	driver.advance(100)
+	fence := driver.orders()[1]
+	require.Equal(t, ebonywood.NewPromoteMember(db, first, token+5), fence)
+	require.Empty(t, actionsOf[ebonywood.ResumeReplication](driver))
+	driver.send(ebonywood.NewPromotionEnded(fence, nil))
+	driver.advance(100)
+	require.Len(t, actionsOf[ebonywood.ResumeReplication](driver), 3)
+	driver.advance(5000)
+	require.Len(t, actionsOf[ebonywood.ResumeReplication](driver), 3)
+	require.Len(t, driver.orders(), 2)
+}
+
+// TestNewHolderSettlesTheOrdersOfTheFormer checks that a new holder of the duty ends pauses
+// that the former one may have left behind, and fences its orders first.
+func TestNewHolderSettlesTheOrdersOfTheFormer(t *testing.T) {
+	driver := newSyncedDriver(t)
+	driver.advance(100)
+	require.Equal(t, []ebonywood.PromoteMember{ebonywood.NewPromoteMember(db, first, token)}, driver.orders())
+	require.Empty(t, actionsOf[ebonywood.ResumeReplication](driver))
+	driver.send(ebonywood.NewPromotionEnded(driver.orders()[0], nil))
+	driver.advance(100)
+	require.Len(t, actionsOf[ebonywood.ResumeReplication](driver), 3)
 }
 
 // newSyncedDriver is newDriver for an instance with one synchronous replica.
@@ -423,6 +544,9 @@
 	require.Empty(t, driver.orders())
 	driver.reply(map[ebonywood.MemberID]uint64{second: 6, third: 6})
 	driver.advance(50)
+	require.Equal(t, map[ebonywood.MemberID]ebonywood.Term{second: 2, third: 2}, driver.pauses())
+	driver.replyPaused(2, map[ebonywood.MemberID]uint64{second: 6, third: 6})
+	driver.advance(50)
 	require.Equal(t, third, driver.orders()[0].Member())
 }
 
--- a/internal/edge/sessions/maintenance.go
+++ b/internal/edge/sessions/maintenance.go
@@ -230,28 +230,54 @@
 }
 
 // queryStatus queries the member's replication status and posts the result to the control
-// loop. While the member has no slot or connection for the query, it is repeated until
-// statusTimeout has passed.
-func (pool *pool) queryStatus() {
+// loop. With a term other than 0 it pauses the member.
+func (pool *pool) queryStatus(pauseAt ebonywood.Term) {
+	status, fault := pool.askRepeatedly(func(conn ebonywood.MemberConn, timeout time.Duration) (ebonywood.ReplicationStatus, error) {
+		if pauseAt > 0 {
+			return conn.PauseReplication(pauseAt, timeout)
+		}
+		return conn.Status(timeout)
+	})
+	pool.edge.post(ebonywood.NewReplicationStatusReceived(pool.instance, pool.member.ID(), status, fault).WithPause(pauseAt))
+}
+
+// resumeReplication ends a pause of the member and logs the result. A pause that could not
+// be ended is ended by the next promotion or the member's restart.
+func (pool *pool) resumeReplication() {
+	_, fault := pool.askRepeatedly(func(conn ebonywood.MemberConn, timeout time.Duration) (ebonywood.ReplicationStatus, error) {
+		return ebonywood.ReplicationStatus{}, conn.ResumeReplication(timeout)
+	})
+	reason := ""
+	if fault != nil {
+		reason = fault.Error()
+	}
+	pool.edge.port.Log().Info("replicationResumed", "instance", pool.instance, "member", pool.member.ID(), "fault", reason)
+}
+
+// askRepeatedly sends a command to the member. While the member has no slot or connection
+// for it, it is repeated until statusTimeout has passed.
+func (pool *pool) askRepeatedly(command statusCommand) (ebonywood.ReplicationStatus, *ebonywood.Fault) {
 	deadline := time.Now().Add(statusTimeout)
 	for {
-		status, fault := pool.queryStatusOnce(time.Until(deadline))
+		status, fault := pool.askOnce(command, time.Until(deadline))
 		if fault == nil || fault.Kind() != ebonywood.KindOverload || time.Now().Add(statusRetryDelay).After(deadline) {
-			pool.edge.post(ebonywood.NewReplicationStatusReceived(pool.instance, pool.member.ID(), status, fault))
-			return
+			return status, fault
 		}
 		time.Sleep(statusRetryDelay)
 	}
 }
 
-// queryStatusOnce queries the member's replication status over one connection. A failure
-// to connect or to query, other than KindOverload, starts a probe of the member.
-func (pool *pool) queryStatusOnce(timeout time.Duration) (ebonywood.ReplicationStatus, *ebonywood.Fault) {
+// statusCommand is a command to a member that returns its replication status.
+type statusCommand func(conn ebonywood.MemberConn, timeout time.Duration) (ebonywood.ReplicationStatus, error)
+
+// askOnce sends a command to the member over one connection. A failure to connect or of
+// the command, other than KindOverload, starts a probe of the member.
+func (pool *pool) askOnce(command statusCommand, timeout time.Duration) (ebonywood.ReplicationStatus, *ebonywood.Fault) {
 	conn, fault := pool.connect(timeout)
 	if fault != nil {
 		return ebonywood.ReplicationStatus{}, fault
 	}
-	status, err := conn.memberConn.Status(timeout)
+	status, err := command(conn.memberConn, timeout)
 	if err == nil {
 		pool.returnConn(conn, false)
 		return status, nil
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -132,7 +132,12 @@
 		})
 	case ebonywood.QueryReplicationStatus:
 		edge.group.Go(func(context.Context) error {
-			edge.pool(action.Instance(), action.Member()).queryStatus()
+			edge.pool(action.Instance(), action.Member()).queryStatus(action.PauseAt())
+			return nil
+		})
+	case ebonywood.ResumeReplication:
+		edge.group.Go(func(context.Context) error {
+			edge.pool(action.Instance(), action.Member()).resumeReplication()
 			return nil
 		})
 	case ebonywood.StopWrites:
--- a/statement.go
+++ b/statement.go
@@ -207,6 +207,13 @@
 	Exchange(statements []Statement, timeout time.Duration) ([]Reply, error)
 	// Status queries the member's replication status.
 	Status(timeout time.Duration) (ReplicationStatus, error)
+	// PauseReplication makes the member receive nothing until ResumeReplication, a
+	// promotion in the instance or its own restart, and returns its status then. term is
+	// greater than the newest term of the instance. Faults are those of Status.
+	PauseReplication(term Term, timeout time.Duration) (ReplicationStatus, error)
+	// ResumeReplication ends a pause; it does nothing to a member that is not paused.
+	// Faults are those of Status.
+	ResumeReplication(timeout time.Duration) error
 	// Interrupt makes a waiting exchange fail immediately; any goroutine may call
 	// it.
 	Interrupt()
--- a/succession.go
+++ b/succession.go
@@ -74,6 +74,7 @@
 	member   MemberID
 	status   ReplicationStatus
 	fault    *Fault
+	pausedAt Term
 }
 
 // NewReplicationStatusReceived returns the event; fault is nil when the member
@@ -82,6 +83,16 @@
 	return ReplicationStatusReceived{instance: instance, member: member, status: status, fault: fault}
 }
 
+// WithPause returns the event for a member that receives nothing since it replied; term is
+// that of the query.
+func (event ReplicationStatusReceived) WithPause(term Term) ReplicationStatusReceived {
+	event.pausedAt = term
+	return event
+}
+
+// PausedAt returns the term with which the member was paused, 0 if it was not.
+func (event ReplicationStatusReceived) PausedAt() Term { return event.pausedAt }
+
 // Instance returns the member's instance.
 func (event ReplicationStatusReceived) Instance() InstanceID { return event.instance }
 
@@ -121,6 +132,7 @@
 type QueryReplicationStatus struct {
 	instance InstanceID
 	member   Member
+	pauseAt  Term
 }
 
 // NewQueryReplicationStatus returns the action.
@@ -128,6 +140,16 @@
 	return QueryReplicationStatus{instance: instance, member: member}
 }
 
+// WithPause returns the query for a member that is to receive nothing from its reply on.
+// term is greater than the newest term of the instance.
+func (action QueryReplicationStatus) WithPause(term Term) QueryReplicationStatus {
+	action.pauseAt = term
+	return action
+}
+
+// PauseAt returns the term with which the member is to be paused; 0 if it is not.
+func (action QueryReplicationStatus) PauseAt() Term { return action.pauseAt }
+
 // Instance returns the member's instance.
 func (action QueryReplicationStatus) Instance() InstanceID { return action.instance }
 
@@ -136,6 +158,25 @@
 
 func (QueryReplicationStatus) isAction() {}
 
+// ResumeReplication ends the pause of a member.
+type ResumeReplication struct {
+	instance InstanceID
+	member   Member
+}
+
+// NewResumeReplication returns the action.
+func NewResumeReplication(instance InstanceID, member Member) ResumeReplication {
+	return ResumeReplication{instance: instance, member: member}
+}
+
+// Instance returns the member's instance.
+func (action ResumeReplication) Instance() InstanceID { return action.instance }
+
+// Member returns the member to resume.
+func (action ResumeReplication) Member() Member { return action.member }
+
+func (ResumeReplication) isAction() {}
+
 // PromoteMember requests that the platform make a member the primary of the next
 // term.
 type PromoteMember struct {
