Store: list again when a watch returns too much

Cause: the client cut the answer of a watch at 4 MiB, failed to decode it, counted that as an unavailable store and repeated the same watch. Evidence: the log names an unexpected end of JSON while other calls succeed; the watch returns each version since the revision. Change: an answer of a watch that is too large, or incomplete when the time is over, leads to a list. Why it works: a list has each key once, in pages of about 1 MB.

--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -108,8 +108,8 @@
 	return nil
 }
 
-// watchDirectory watches the directory itself until its history is compacted or another
-// proxy can be followed. It continues at the revision that a watcher's mirror had
+// watchDirectory watches the directory itself until its history is compacted or too large
+// to be read, or another proxy can be followed. It continues at the revision that a watcher's mirror had
 // reached, because a new list takes long over a slow link.
 func (mirror *mirror) watchDirectory(ctx context.Context) {
 	mirror.upstreamAddress = ""
@@ -126,7 +126,7 @@
 			continue
 		}
 		if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
-			mirror.edge.port.Log().Info("history gone", "at", mirror.revision)
+			mirror.edge.port.Log().Info("history gone", "at", mirror.revision, "why", err.Error())
 			mirror.revision = 0
 			return
 		}
