Succession: order the evidence about the primary by time, not by term

Cause: a primary was known by the term of its log's last record. A promoted member whose last record is of an older term than one seen before counted as superseded for good, and the holder of the duty ordered a promotion every 1.6 s. Change: the evidence carries when its operation was sent; what was sent before the last evidence is ignored, whatever its term. Why it works: a member that has lost the lead refuses the operation, so that an accepted one proves who led after it was sent.

--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -22,11 +22,14 @@
 
 // instanceState is the locally held state of one instance.
 type instanceState struct {
-	id           ebonywood.InstanceID
-	members      []*memberState
-	primary      ebonywood.MemberID
+	id      ebonywood.InstanceID
+	members []*memberState
+	primary ebonywood.MemberID
+	// term is the term of the last record in the primary's log.
 	term         ebonywood.Term
 	syncReplicas int
+	// confirmedAt is when the operation was sent that last proved who is the primary.
+	confirmedAt ebonywood.Millis
 	// watched is set while this process has to keep track of the primary.
 	watched bool
 	// lostAt is the time since which the primary is unknown or unreachable; 0 while it
@@ -116,12 +119,15 @@
 }
 
 // confirmPrimary makes a member the primary after it accepted a transaction. Evidence
-// from an older term is ignored. A failover in progress ends.
+// that was sent before the last one is ignored. Terms don't tell which is newer: the last
+// record of a primary may be of any earlier term. A failover in progress ends.
 func (instance *instanceState) confirmPrimary(now ebonywood.Millis, event ebonywood.PrimaryObserved) []ebonywood.Action {
-	if event.Term() < instance.term || instance.findMember(event.Member()) == nil {
+	if event.SentAt() < instance.confirmedAt || instance.findMember(event.Member()) == nil {
 		return nil
 	}
-	if event.Member() == instance.primary && event.Term() == instance.term {
+	instance.confirmedAt = event.SentAt()
+	term := event.Position().Term()
+	if event.Member() == instance.primary && term == instance.term {
 		return nil
 	}
 	gap := ebonywood.Millis(0)
@@ -135,14 +141,14 @@
 		// The promotion ended the pauses.
 		instance.pause = pauseState{}
 	}
-	instance.primary, instance.term = event.Member(), event.Term()
+	instance.primary, instance.term = event.Member(), term
 	instance.lostAt, instance.unlistedAt = 0, 0
 	instance.findMember(event.Member()).unreachable = false
 	instance.failover = nil
 	instance.cachedView = nil
 	actions := instance.resumeWrites(now, "primary")
 	return append(actions, ebonywood.NewLogMessage(message,
-		"instance", instance.id, "member", event.Member(), "term", uint64(event.Term()), "unknownForMs", int64(gap)))
+		"instance", instance.id, "member", event.Member(), "term", uint64(term), "position", event.Position().String(), "unknownForMs", int64(gap)))
 }
 
 // clearPrimary removes the primary after it refused a transaction, and probes the
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -240,7 +240,7 @@
 	state.mutex.Unlock()
 	view, found := edge.port.Snapshot().View(pool.instance)
 	if !found || view.Primary() != pool.member.ID() || view.Term() != position.Term() {
-		edge.post(ebonywood.NewPrimaryObserved(pool.instance, pool.member.ID(), position.Term()))
+		edge.post(ebonywood.NewPrimaryObserved(pool.instance, pool.member.ID(), position, sentAt))
 	}
 }
 
--- a/succession.go
+++ b/succession.go
@@ -1,16 +1,19 @@
 package ebonywood
 
 // PrimaryObserved reports that a member accepted an operation that only a primary
-// accepts.
+// accepts. It proves that the member was the primary at some moment after the operation
+// was sent.
 type PrimaryObserved struct {
 	instance InstanceID
 	member   MemberID
-	term     Term
+	position Position
+	sentAt   Millis
 }
 
-// NewPrimaryObserved returns the event.
-func NewPrimaryObserved(instance InstanceID, member MemberID, term Term) PrimaryObserved {
-	return PrimaryObserved{instance: instance, member: member, term: term}
+// NewPrimaryObserved returns the event; position is the end of the member's log, and
+// sentAt when the operation was sent, on the clock of this process.
+func NewPrimaryObserved(instance InstanceID, member MemberID, position Position, sentAt Millis) PrimaryObserved {
+	return PrimaryObserved{instance: instance, member: member, position: position, sentAt: sentAt}
 }
 
 // Instance returns the member's instance.
@@ -19,8 +22,12 @@
 // Member returns the primary.
 func (event PrimaryObserved) Member() MemberID { return event.member }
 
-// Term returns the term of the primary.
-func (event PrimaryObserved) Term() Term { return event.term }
+// Position returns the end of the primary's log. Its term is that of the last record,
+// which is of an earlier term until the primary has committed something.
+func (event PrimaryObserved) Position() Position { return event.position }
+
+// SentAt returns when the operation was sent.
+func (event PrimaryObserved) SentAt() Millis { return event.sentAt }
 
 func (PrimaryObserved) isEvent() {}
 
