Succession: promote no member whose log an earlier promotion rolled back

Cause: candidates were compared by their positions alone. A member that was never part of the last term has a log of another branch, whose numbers may be higher. Change: for each promotion it is remembered how many records the promoted member had. Why it works: a log of an earlier term with no more records than that is a part of the promoted member's log.

--- a/internal/decision/succession/failover.go
+++ b/internal/decision/succession/failover.go
@@ -54,6 +54,8 @@
 	replies map[ebonywood.MemberID]ebonywood.ReplicationStatus
 	queried int
 	order   ebonywood.PromoteMember
+	// orderedPosition is the position that the member of the order had reported.
+	orderedPosition ebonywood.Position
 	// unconfirmed is set if the platform did not say whether it accepted the order, which
 	// may still take effect.
 	unconfirmed bool
@@ -165,10 +167,10 @@
 			return instance.abortFailover(now, primary, term)
 		}
 	}
-	best, position := instance.mostAdvanced()
+	best, position := instance.mostAdvanced(now)
 	if best == "" || !instance.holdsEveryCommit(position) || instance.lacksClaimedPrimary() {
 		if timedOut {
-			return instance.repeatQuery(now)
+			return append(instance.logAbandoned(now), instance.repeatQuery(now)...)
 		}
 		return nil
 	}
@@ -181,7 +183,7 @@
 // promote orders the promotion of a member with a received position.
 func (instance *instanceState) promote(now ebonywood.Millis, best ebonywood.MemberID, position ebonywood.Position, token int64) []ebonywood.Action {
 	failover := instance.failover
-	failover.order = ebonywood.NewPromoteMember(instance.id, best, token)
+	failover.order, failover.orderedPosition = ebonywood.NewPromoteMember(instance.id, best, token), position
 	instance.pause.orderToken = token
 	failover.phase, failover.phaseStartedAt = phasePromoting, now
 	return []ebonywood.Action{
@@ -212,7 +214,7 @@
 		return len(replies) > 0
 	}
 	for _, status := range replies {
-		if position.Less(status.Received()) {
+		if position.Less(status.Received()) && !instance.lineage.isAbandoned(status.Received()) {
 			return false
 		}
 	}
@@ -273,13 +275,17 @@
 }
 
 // mostAdvanced returns the candidate with the highest received position among those that
-// replied, empty if none did. Ties go to the member whose ID sorts first.
-func (instance *instanceState) mostAdvanced() (ebonywood.MemberID, ebonywood.Position) {
+// replied and whose log is not abandoned, empty if there is none. Ties go to the member
+// whose ID sorts first.
+func (instance *instanceState) mostAdvanced(now ebonywood.Millis) (ebonywood.MemberID, ebonywood.Position) {
 	var best ebonywood.MemberID
 	var position ebonywood.Position
 	for _, member := range instance.members {
 		id := member.listed.Member().ID()
 		status, replied := instance.failover.replies[id]
+		if replied && instance.lineage.isAbandoned(status.Received()) && !instance.acceptsAbandoned(now) {
+			continue
+		}
 		if replied && instance.isCandidate(member) && (best == "" || position.Less(status.Received())) {
 			best, position = id, status.Received()
 		}
--- a/internal/decision/succession/instance.go
+++ b/internal/decision/succession/instance.go
@@ -30,6 +30,8 @@
 	syncReplicas int
 	// confirmedAt is when the operation was sent that last proved who is the primary.
 	confirmedAt ebonywood.Millis
+	// lineage says which logs descend from the primary's.
+	lineage lineage
 	// watched is set while this process has to keep track of the primary.
 	watched bool
 	// lostAt is the time since which the primary is unknown or unreachable; 0 while it
@@ -71,7 +73,7 @@
 // reset discards the primary, the failover in progress and the reachability of all
 // members.
 func (instance *instanceState) reset(now ebonywood.Millis) {
-	instance.primary = ""
+	instance.primary, instance.lineage.primary = "", ""
 	instance.lostAt, instance.unlistedAt, instance.probedAt = now, 0, 0
 	instance.failover = nil
 	instance.cachedView = nil
@@ -130,6 +132,7 @@
 	if event.Member() == instance.primary && term == instance.term {
 		return nil
 	}
+	instance.recordLineage(event)
 	gap := ebonywood.Millis(0)
 	if instance.lostAt > 0 {
 		gap = now - instance.lostAt
--- a/internal/decision/succession/pause.go
+++ b/internal/decision/succession/pause.go
@@ -69,7 +69,7 @@
 	if len(failover.replies) < failover.queried && !timedOut {
 		return nil
 	}
-	best, position := instance.mostAdvanced()
+	best, position := instance.mostAdvanced(now)
 	if best != "" && instance.holdsEveryCommit(position) {
 		return instance.promote(now, best, position, token)
 	}
