Directory: keep the request for a greater token until it is answered

What operators could see: the holder of the duty never promotes again, while it keeps the duty, after a promotion that was refused (409) and one failed call to the store. Cause: the request was cleared before the call and not set again; the refused token is not used. Change: it stands until the call succeeds or another writer has changed the key.

--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -241,7 +241,8 @@
 }
 
 // renewToken rewrites the duty key to obtain a higher revision as the fencing token. A
-// conflict means that the key has changed, which the mirror receives.
+// conflict means that the key has changed, which the mirror receives. After any other error
+// the request stands, since the holder may order nothing until it has the greater token.
 func (keeper *keeper) renewToken(ctx context.Context) error {
 	edge := keeper.edge
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -257,6 +258,11 @@
 	if err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindConflict {
 		return nil
 	}
+	if err != nil {
+		edge.mutex.Lock()
+		edge.renewRequested = true
+		edge.mutex.Unlock()
+	}
 	return edge.clearEndedLease(&keeper.dutyLease, err)
 }
 
--- /dev/null
+++ b/internal/edge/directory/keeper_test.go
@@ -0,0 +1,30 @@
+package directory
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+// TestRequestForATokenOutlivesFailedCalls guards against a holder of the duty that never
+// orders again: a request for a greater token was forgotten if the one call for it failed.
+func TestRequestForATokenOutlivesFailedCalls(t *testing.T) {
+	failure := ebonywood.NewFault(ebonywood.KindUnavailable, "no response", "")
+	fake := &fakeDirectory{}
+	edge := New(fakePort{directory: fake})
+	keeper := &keeper{edge: edge}
+	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), 50), 50)
+	require.True(t, edge.Perform(ebonywood.RenewToken{}))
+	fake.replace = func() (int64, error) { return 0, failure }
+	for range 3 {
+		require.Error(t, keeper.renewToken(t.Context()))
+		require.True(t, edge.renewRequested)
+	}
+	fake.replace = func() (int64, error) { return 60, nil }
+	require.NoError(t, keeper.renewToken(t.Context()))
+	require.False(t, edge.renewRequested)
+	require.Equal(t, int64(60), edge.duty.Revision())
+	require.True(t, edge.holdsDuty)
+}
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -23,6 +23,11 @@
 	arriving bool
 	changes  func(after int64) ([]ebonywood.Item, int64, error)
 	list     func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
+	replace  func() (int64, error)
+}
+
+func (fake *fakeDirectory) Replace(context.Context, string, []byte, ebonywood.LeaseID, int64) (int64, error) {
+	return fake.replace()
 }
 
 func (fake *fakeDirectory) List(ctx context.Context, _ string, onResponse func()) ([]ebonywood.Item, int64, error) {
