Sessions: take a primary with an empty log for the primary

What callers could see: all writes to a database without commits refused, for ever. Cause: the position of an empty log, "-", was ignored together with the proof that came with it. Change: it gives no freshness sample, but the control loop is told. Bounded reads go to the primary until the first commit. Measured: TestEmptyDatabaseHasAPrimary failed before (BUSY, no primary).

--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -228,16 +228,16 @@
 }
 
 // recordPrimary adds a freshness sample: at position, the member accepted a statement,
-// sent at sentAt, that only a primary accepts. If the snapshot names another primary or
+// sent at sentAt, that only a primary accepts. An empty log, with the zero position, gives
+// no sample, but proves the primary all the same. If the snapshot names another primary or
 // term, the control loop is notified.
 func (edge *Edge) recordPrimary(pool *pool, sentAt ebonywood.Millis, position ebonywood.Position) {
-	if position.IsZero() {
-		return
+	if !position.IsZero() {
+		state := edge.primaryState(pool.instance)
+		state.mutex.Lock()
+		state.samples.Add(sentAt, position)
+		state.mutex.Unlock()
 	}
-	state := edge.primaryState(pool.instance)
-	state.mutex.Lock()
-	state.samples.Add(sentAt, position)
-	state.mutex.Unlock()
 	view, found := edge.port.Snapshot().View(pool.instance)
 	if !found || view.Primary() != pool.member.ID() || view.Term() != position.Term() {
 		edge.post(ebonywood.NewPrimaryObserved(pool.instance, pool.member.ID(), position, sentAt))
