Sessions: count a prepared statement as a read only if it clearly reads

What callers could see: work of a prepared write answered with success and rolled back, if its definition began with a second blank. Cause: the definition was compared with WRITE at its first byte, and all else was a read. Change: leading blanks are passed over, and all but READ is a write.

--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -176,10 +176,13 @@
 	}
 }
 
+// newPreparedStatement returns the prepared statement of a definition. Only one that
+// clearly reads counts as a read: a write that counted as one would be rolled back.
 func newPreparedStatement(definition string) *preparedStatement {
+	verb, _, _ := strings.Cut(strings.TrimLeft(definition, " "), " ")
 	return &preparedStatement{
 		name: fmt.Sprintf("p%x", xxhash.Sum64String(definition)), definition: definition,
-		writes: strings.HasPrefix(definition, "WRITE"),
+		writes: verb != "READ",
 	}
 }
 
