Sessions: keep the floor when a forwarded transaction can't be begun

What callers could see: a session that misses its own commits after a transaction was refused, since the serving proxy has no such route any more. Cause: the state of the session was loaded only after the transaction had been begun, so that the result had a zero floor, which the session took over. Change: it is loaded first. Measured: TestRefusedTransactionKeepsTheFloor failed before.

--- a/internal/edge/sessions/forwarded.go
+++ b/internal/edge/sessions/forwarded.go
@@ -24,9 +24,10 @@
 // with the new state. If the request begins a transaction, that is opened first.
 func (forwarded *forwardedSession) Run(request ebonywood.ForwardRequest) ebonywood.ForwardResult {
 	session := forwarded.session
+	// Loaded first, so that the result has the session's floor even if nothing is run.
+	session.loadState(request)
 	reply, begun := forwarded.begin(request)
 	if begun {
-		session.loadState(request)
 		reply = session.Handle(request.Statement())
 	}
 	session.mutex.Lock()
