Sessions: bound the memory that settings and prepared statements take

What operators could see: processes killed for their memory, over and over, by clients that set settings of up to a message's size, 500 a session. Cause: settings and prepared statements were limited in number only; connections kept the buffer of their largest message while idle. Change: the bytes of a session are limited (sessionBytes), and those of all sessions to a share of the process's memory (sessionMemory); past either the statement is refused and everything else goes on. No figure of a process's memory was taken.

--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -233,6 +233,7 @@
 func (pool *pool) release(lease *lease, broken bool) {
 	elapsed := time.Since(lease.startedAt)
 	pool.edge.recordCost(lease.shape, elapsed)
+	lease.forgetLargeSettings()
 	pool.returnConn(lease.pooledConn, broken)
 	pool.admission.Release(lease.ticket, elapsed)
 	if broken {
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -44,7 +44,9 @@
 	// acknowledged.
 	floor        ebonywood.Position
 	lastCommitAt ebonywood.Millis
-	tx           *transaction
+	// heldBytes is the size of the settings and the prepared statements.
+	heldBytes int64
+	tx        *transaction
 	// forwarded reports that the session's caller is connected to another proxy. awaited
 	// ends when that proxy no longer waits for the session's requests; nil otherwise.
 	forwarded bool
@@ -143,6 +145,9 @@
 		return ebonywood.NewFailure(ebonywood.CodeMalformed, "the session holds too many settings or prepared statements",
 			state, ebonywood.Position{}), true
 	}
+	if code, message := session.reserve(statement); code != ebonywood.CodeDone {
+		return ebonywood.NewFailure(code, message, state, ebonywood.Position{}), true
+	}
 	switch statement.Verb() {
 	case ebonywood.VerbSet:
 		if session.settings == nil {
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -43,6 +43,7 @@
 	port   ebonywood.Port
 	limits ebonywood.Limits
 	group  *rungroup.Group
+	memory *sessionMemory
 
 	mutex         sync.Mutex
 	pools         map[ebonywood.MemberID]*pool
@@ -93,6 +94,7 @@
 func New(port ebonywood.Port) *Edge {
 	return &Edge{
 		port: port, limits: port.Settings().Limits(), group: rungroup.New(context.Background()),
+		memory:        newSessionMemory(port.Settings()),
 		pools:         map[ebonywood.MemberID]*pool{},
 		primaryStates: map[ebonywood.InstanceID]*primaryState{},
 		writeGates:    map[ebonywood.InstanceID]*writeGate{},
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -327,6 +327,7 @@
 		session.rollBack()
 		session.clearTransaction()
 	}
+	session.releaseMemory()
 }
 
 // expireIdle rolls back transactions that have been idle for longer than the
--- a/limits.go
+++ b/limits.go
@@ -20,6 +20,8 @@
 	LimitReportTTL
 	LimitWatchWait
 	LimitRequestLinesPerSecond
+	LimitSessionBytes
+	LimitSessionMemory
 	numLimits
 )
 
@@ -82,6 +84,8 @@
 		{LimitReportTTL, "reportTTL", LimitDuration, 3_600, 300, 60_000, "time to live of the lease of a proxy's report"},
 		{LimitWatchWait, "watchWait", LimitDuration, 1_600, 100, 30_000, "how long a watch of the store waits; a change may go unnoticed for that long if the response with it is lost"},
 		{LimitRequestLinesPerSecond, "requestLinesPerSecond", LimitCount, 20, 0, 10_000, "log lines about single requests, and as many about refused callers, per second"},
+		{LimitSessionBytes, "sessionBytes", LimitCount, 2_097_152, 1_024, 67_108_864, "bytes of settings and prepared statements that one session may hold"},
+		{LimitSessionMemory, "sessionMemory", LimitShare, 0.15, 0.01, 0.5, "share of the process's memory that the settings and prepared statements of all sessions may take"},
 	}
 }
 
