--- a/internal/decision/succession/failover.go
+++ b/internal/decision/succession/failover.go
@@ -308,6 +308,7 @@
 	switch {
 	case fault == nil && instance.isFence():
 		instance.failover, instance.pause.orderToken, instance.pause.orderMember = nil, 0, ""
+		instance.pause.fencedAt = now
 	case fault == nil:
 		instance.failover.phaseStartedAt = now
 	case fault.Kind() == ebonywood.KindConflict:
--- a/internal/decision/succession/pause.go
+++ b/internal/decision/succession/pause.go
@@ -24,6 +24,9 @@
 	// one. orderMember is its member, empty if that is unknown.
 	orderToken  int64
 	orderMember ebonywood.MemberID
+	// fencedAt is when the last order for the present primary was accepted. Orders that had
+	// been accepted before may still take effect for promotionTimeout.
+	fencedAt ebonywood.Millis
 	// renewedAt is when a token greater than orderToken was last requested.
 	renewedAt ebonywood.Millis
 }
@@ -138,6 +141,8 @@
 	}
 	ordered := instance.findMember(pause.orderMember)
 	switch {
+	case pause.orderToken == 0 && pause.fencedAt > 0 && now-pause.fencedAt < promotionTimeout:
+		return nil
 	case pause.orderToken == 0:
 		pause.active = false
 		return instance.resumeMembers()
