Workspaces: object set, sessions, pools and forwarding by workspace

Cause: configurations with workspaces could not be served.

The object set holds workspaces with digests of their keys. A session checks its key with each operation; sessions of a withdrawn key end.

--- a/internal/edge/relay/calls.go
+++ b/internal/edge/relay/calls.go
@@ -78,3 +78,27 @@
 	page := edge.port.Mirror().Changes(ctx, ebonywood.NewCursor(message.Epoch, message.Sequence).WithRevision(message.Revision))
 	return stream.MsgSend(edge.compressor.encodePage(page), wire)
 }
+
+// RequestTokens asks the allocator at an address for tokens.
+func (edge *Edge) RequestTokens(
+	ctx context.Context, address string, request ebonywood.TokenRequest,
+) (ebonywood.TokenReply, error) {
+	var reply grantsMessage
+	if err := edge.link(address).Invoke(ctx, rpcRequestTokens, encodeTokenRequest(request), &reply); err != nil {
+		return ebonywood.TokenReply{}, err
+	}
+	return reply.decode(), nil
+}
+
+// serveTokens replies to another proxy's request for tokens.
+func (edge *Edge) serveTokens(stream drpc.Stream) error {
+	var message tokensMessage
+	if err := stream.MsgRecv(&message, wire); err != nil {
+		return err
+	}
+	reply := ebonywood.NewTokenRefusal("this process deals no tokens")
+	if allocator := edge.port.TokenAllocator(); allocator != nil && message.Version == protocolVersion {
+		reply = allocator.Allocate(message.decode())
+	}
+	return stream.MsgSend(encodeTokenReply(reply), wire)
+}
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -17,6 +17,8 @@
 	rpcFetchChanges = "ebonywood.follow"
 	// rpcPing checks whether a proxy responds.
 	rpcPing = "ebonywood.reach"
+	// rpcRequestTokens asks an allocator for tokens.
+	rpcRequestTokens = "ebonywood.tokens"
 )
 
 var wire cborwire.Encoding
@@ -40,6 +42,7 @@
 	Definition     string            `cbor:"13,keyasint,omitempty"`
 	Begin          uint8             `cbor:"14,keyasint,omitempty"`
 	TransactionAge int64             `cbor:"15,keyasint,omitempty"`
+	Workspace      string            `cbor:"16,keyasint,omitempty"`
 }
 
 // resultMessage is the result of a forwarded request. If Refusal is not empty, the
@@ -66,12 +69,14 @@
 		FloorTerm: uint64(state.Floor().Term()), Floor: state.Floor().Offset(), CommitAge: int64(state.CommitAge()),
 		ID: statement.ID(), Verb: uint8(statement.Verb()), Text: statement.Text(), Name: statement.Name(), Value: statement.Value(),
 		Definition: request.Definition(), Begin: uint8(request.Begin()), TransactionAge: int64(request.TransactionAge()),
+		Workspace: state.Workspace(),
 	}
 }
 
 func (message *forwardMessage) decode() ebonywood.ForwardRequest {
 	floor := ebonywood.NewPosition(ebonywood.Term(message.FloorTerm), message.Floor)
-	state := ebonywood.NewSessionState(message.Database, message.Generation, message.Settings, floor, ebonywood.Millis(message.CommitAge))
+	state := ebonywood.NewSessionState(message.Database, message.Generation, message.Settings, floor, ebonywood.Millis(message.CommitAge)).
+		WithWorkspace(message.Workspace)
 	statement := ebonywood.NewStatement(message.ID, ebonywood.Verb(message.Verb), message.Text, message.Name, message.Value)
 	request := ebonywood.NewForwardRequest(state, statement, message.Definition)
 	if begin := ebonywood.Verb(message.Begin); begin != ebonywood.VerbOther {
@@ -80,6 +85,71 @@
 	return request
 }
 
+// tokensMessage is a request for tokens of an allocator.
+type tokensMessage struct {
+	Version   int           `cbor:"1,keyasint"`
+	Proxy     string        `cbor:"2,keyasint"`
+	Allocator int           `cbor:"3,keyasint"`
+	Nonce     string        `cbor:"4,keyasint"`
+	Needs     []needMessage `cbor:"5,keyasint"`
+}
+
+// needMessage is what a proxy holds and needs of the tokens of one workspace.
+type needMessage struct {
+	Workspace string `cbor:"1,keyasint"`
+	Held      int    `cbor:"2,keyasint,omitempty"`
+	Wanted    int    `cbor:"3,keyasint,omitempty"`
+}
+
+// grantsMessage is the reply to a request for tokens. If Refusal is not empty, there are no
+// grants.
+type grantsMessage struct {
+	Refusal string         `cbor:"1,keyasint,omitempty"`
+	Grants  []grantMessage `cbor:"2,keyasint,omitempty"`
+}
+
+// grantMessage is the number of tokens dealt for one workspace; RetryAfter is in milliseconds.
+type grantMessage struct {
+	Workspace  string `cbor:"1,keyasint"`
+	Tokens     int    `cbor:"2,keyasint,omitempty"`
+	RetryAfter int64  `cbor:"3,keyasint,omitempty"`
+}
+
+func encodeTokenRequest(request ebonywood.TokenRequest) *tokensMessage {
+	message := &tokensMessage{Version: protocolVersion, Proxy: request.Proxy(), Allocator: request.Allocator(), Nonce: request.Nonce()}
+	for _, need := range request.Needs() {
+		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted()})
+	}
+	return message
+}
+
+func (message *tokensMessage) decode() ebonywood.TokenRequest {
+	needs := make([]ebonywood.TokenNeed, 0, len(message.Needs))
+	for _, need := range message.Needs {
+		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted))
+	}
+	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs)
+}
+
+func encodeTokenReply(reply ebonywood.TokenReply) *grantsMessage {
+	message := &grantsMessage{Refusal: reply.Refusal()}
+	for _, grant := range reply.Grants() {
+		message.Grants = append(message.Grants, grantMessage{Workspace: grant.Workspace(), Tokens: grant.Tokens(), RetryAfter: int64(grant.RetryAfter())})
+	}
+	return message
+}
+
+func (message *grantsMessage) decode() ebonywood.TokenReply {
+	if message.Refusal != "" {
+		return ebonywood.NewTokenRefusal(message.Refusal)
+	}
+	grants := make([]ebonywood.TokenGrant, 0, len(message.Grants))
+	for _, grant := range message.Grants {
+		grants = append(grants, ebonywood.NewTokenGrant(grant.Workspace, grant.Tokens, ebonywood.Millis(grant.RetryAfter)))
+	}
+	return ebonywood.NewTokenReply(grants)
+}
+
 func encodeResult(result ebonywood.ForwardResult) *resultMessage {
 	reply := result.Reply()
 	return &resultMessage{
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -143,6 +143,8 @@
 		return handler.edge.serveFetchChanges(stream)
 	case rpcPing:
 		return handler.edge.servePing(stream)
+	case rpcRequestTokens:
+		return handler.edge.serveTokens(stream)
 	default:
 		return ebonywood.NewFault(ebonywood.KindBadInput, fmt.Sprintf("no procedure %q", rpc), "upgrade the fleet one version at a time")
 	}
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -17,6 +17,9 @@
 	// leasedCostMs is the expected wait, in ms, for each connection to the member that
 	// this process has in use.
 	leasedCostMs = 9.0
+	// newConnectionCostMs is added to the expected wait of a member, in ms, if a connection
+	// has to be opened for the workspace, which occupies a slot of the member.
+	newConnectionCostMs = 15.0
 	// recentWriteWindow is how long after a session's write the session does not read
 	// from replicas whose reported position does not cover the write.
 	recentWriteWindow ebonywood.Millis = 60
@@ -68,9 +71,10 @@
 // chooseReader returns the pool of the member with the shortest expected wait among those
 // that are readable, not leaving, untried and may hold the floor; nil if there is none.
 // For the primary, neither its position nor its reachability is required. recent excludes
-// replicas that are not known to hold the floor.
+// replicas that are not known to hold the floor. workspace names the workspace of the
+// statement.
 func (edge *Edge) chooseReader(
-	view *ebonywood.InstanceView, floor ebonywood.Position, recent bool, tried map[ebonywood.MemberID]bool,
+	view *ebonywood.InstanceView, floor ebonywood.Position, recent bool, tried map[ebonywood.MemberID]bool, workspace string,
 ) *pool {
 	var best *pool
 	leastMs := 0.0
@@ -81,7 +85,7 @@
 		}
 		pool := edge.pool(view.ID(), member)
 		isPrimary := member.ID() == view.Primary()
-		expectedMs, usable := pool.expectedWait(floor, recent && !isPrimary)
+		expectedMs, usable := pool.expectedWait(floor, recent && !isPrimary, workspace)
 		if !usable && !isPrimary {
 			continue
 		}
@@ -101,7 +105,7 @@
 // expectedWait returns the expected wait at the member in ms, and whether the member is
 // reachable and may hold the floor; with recent, it must be known to hold the floor. The
 // observed delay decays with its age. An unusable member's expected wait is 0.
-func (pool *pool) expectedWait(floor ebonywood.Position, recent bool) (expectedMs float64, usable bool) {
+func (pool *pool) expectedWait(floor ebonywood.Position, recent bool, workspace string) (expectedMs float64, usable bool) {
 	now := pool.edge.now()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
@@ -114,5 +118,9 @@
 	}
 	ageMs := float64(now - pool.delayAt)
 	decayedMs := pool.delayMs * delayHalfLifeMs / (delayHalfLifeMs + ageMs)
-	return float64(pool.admission.Running())*leasedCostMs + decayedMs, true
+	expectedMs = float64(pool.admission.Running())*leasedCostMs + decayedMs
+	if workspace != "" && !pool.hasIdle(workspace) {
+		expectedMs += newConnectionCostMs
+	}
+	return expectedMs, true
 }
--- a/internal/edge/sessions/configuration_test.go
+++ b/internal/edge/sessions/configuration_test.go
@@ -45,9 +45,9 @@
 		0: ebonywood.CodeNoDatabase, maxConfigurationAge: ebonywood.CodeNoDatabase, maxConfigurationAge + 1: ebonywood.CodeBusy,
 	} {
 		aged.now = aged.asOf + age
-		_, opened := edge.Open("unknown")
+		_, opened := edge.Open("unknown", ebonywood.KeyDigest{})
 		require.Equal(t, code, opened, "%d ms", age)
-		_, opened = edge.Open("shop")
+		_, opened = edge.Open("shop", ebonywood.KeyDigest{})
 		require.Equal(t, ebonywood.CodeDone, opened, "a database with a route is served")
 	}
 }
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -1,9 +1,12 @@
 package sessions
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
@@ -35,7 +38,7 @@
 	if session.forwarded || edge.port.Relay() == nil || snapshot.IsServed(id) {
 		return nil
 	}
-	return edge.rank(snapshot.Owners().ForInstance(id))
+	return edge.rank(snapshot.Owners().ForInstance(id), session.workspaceKey())
 }
 
 // serversOfTransaction returns the servers for the open transaction's instance as long
@@ -50,11 +53,15 @@
 
 // rank orders proxies: those of this availability zone first, avoided ones last. Within
 // each group the order starts at a random proxy, so that the forwarding proxies spread
-// their load.
-func (edge *Edge) rank(peers []ebonywood.PeerView) []ebonywood.PeerView {
+// their load. For a workspace it is the workspace's rendezvous order: each connection to a
+// member belongs to one workspace, so few proxies should need connections for each.
+func (edge *Edge) rank(peers []ebonywood.PeerView, workspace string) []ebonywood.PeerView {
 	var near, far, avoided []ebonywood.PeerView
 	zone := edge.port.Settings().Zone()
 	offset := rand.IntN(len(peers))
+	if workspace != "" {
+		peers, offset = rendezvousOrder(peers, workspace), 0
+	}
 	for i := range peers {
 		server := peers[(i+offset)%len(peers)]
 		switch {
@@ -69,6 +76,32 @@
 	return append(append(near, far...), avoided...)
 }
 
+// rendezvousOrder returns the proxies in the rendezvous order of a key.
+func rendezvousOrder(peers []ebonywood.PeerView, key string) []ebonywood.PeerView {
+	ordered := slices.Clone(peers)
+	slices.SortFunc(ordered, func(left, right ebonywood.PeerView) int {
+		return cmp.Compare(xxhash.Sum64String(key+"/"+right.Name()), xxhash.Sum64String(key+"/"+left.Name()))
+	})
+	return ordered
+}
+
+// workspaceKey returns the name of the caller's workspace, empty if it has none.
+func (session *session) workspaceKey() string {
+	set := session.edge.port.Snapshot().ObjectSet()
+	if set == nil || !set.RequiresWorkspace() {
+		return ""
+	}
+	route, found := set.Route("", session.database)
+	if !found {
+		return ""
+	}
+	workspace, _ := session.access(set, route)
+	if workspace == nil {
+		return ""
+	}
+	return workspace.Name()
+}
+
 // forward runs a single statement at another proxy. The next proxy is tried if one can't
 // be reached or refuses the statement, or if the reply to a read is lost.
 func (session *session) forward(
@@ -127,7 +160,8 @@
 	if attempt.prepared != nil {
 		definition = attempt.prepared.definition
 	}
-	state := ebonywood.NewSessionState(session.database, generation, session.settings, session.floor, edge.now()-session.lastCommitAt)
+	state := ebonywood.NewSessionState(session.database, generation, session.settings, session.floor, edge.now()-session.lastCommitAt).
+		WithWorkspace(attempt.workspaceName())
 	return ebonywood.NewForwardRequest(state, statement, definition)
 }
 
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -109,6 +109,10 @@
 	return ebonywood.MirrorPage{}, errors.New("FetchChanges is not supported")
 }
 
+func (relay *relay) RequestTokens(context.Context, string, ebonywood.TokenRequest) (ebonywood.TokenReply, error) {
+	return ebonywood.TokenReply{}, errors.New("RequestTokens is not supported")
+}
+
 func (conn *peerConn) Exchange(request ebonywood.ForwardRequest, timeout time.Duration) (ebonywood.ForwardResult, error) {
 	relay := conn.relay
 	relay.requests = append(relay.requests, request)
@@ -207,7 +211,7 @@
 		t.Run(name, func(t *testing.T) {
 			port := newPort()
 			port.relay.behaviours["near"], port.relay.behaviours["far"] = test.near, test.far
-			session, code := New(port).Open("shop")
+			session, code := New(port).Open("shop", ebonywood.KeyDigest{})
 			require.Equal(t, ebonywood.CodeDone, code)
 			var reply ebonywood.Reply
 			port.relay.dead.Store(true)
@@ -229,7 +233,7 @@
 // statement is sent with the next, and that both carry the session's settings.
 func TestForwardRequestCarriesSessionState(t *testing.T) {
 	port := newPort()
-	session, _ := New(port).Open("shop")
+	session, _ := New(port).Open("shop", ebonywood.KeyDigest{})
 	session.Handle(ebonywood.NewStatement("0", ebonywood.VerbSet, "SET zone bole", "zone", "bole"))
 	session.Handle(write)
 	session.Handle(read)
@@ -245,7 +249,7 @@
 // back at the proxy that runs it.
 func TestCloseRollsBackForwardedTransaction(t *testing.T) {
 	port := newPort()
-	session, _ := New(port).Open("shop")
+	session, _ := New(port).Open("shop", ebonywood.KeyDigest{})
 	session.Handle(begin)
 	session.Handle(write)
 	session.Close()
@@ -261,7 +265,7 @@
 	port.relay.behaviours["near"] = []behaviour{losesReply}
 	port.relay.dead.Store(true)
 	edge := New(port)
-	session, _ := edge.Open("shop")
+	session, _ := edge.Open("shop", ebonywood.KeyDigest{})
 	session.Handle(write)
 	session.Handle(write)
 	require.Equal(t, []string{"near", "far"}, port.relay.peers)
@@ -303,7 +307,7 @@
 			}
 		}
 	}()
-	session, _ := edge.Open("shop")
+	session, _ := edge.Open("shop", ebonywood.KeyDigest{})
 	require.Equal(t, ebonywood.CodeDone, session.Handle(read).Code())
 	require.Equal(t, []string{"near", "far"}, port.relay.peers)
 	return port
@@ -316,7 +320,7 @@
 	port.relay.behaviours["near"] = []behaviour{hangs}
 	port.relay.dead.Store(true)
 	edge := New(port)
-	session, _ := edge.Open("shop")
+	session, _ := edge.Open("shop", ebonywood.KeyDigest{})
 	time.AfterFunc(300*time.Millisecond, edge.watchPeers)
 	require.Contains(t, []ebonywood.Code{ebonywood.CodeUnknown, ebonywood.CodeTimeout}, session.Handle(write).Code())
 	require.Equal(t, []string{"near"}, port.relay.peers)
--- a/internal/edge/sessions/forwarded.go
+++ b/internal/edge/sessions/forwarded.go
@@ -12,7 +12,9 @@
 // OpenForwarded opens a session for the requests of a session at another proxy, which
 // waits for them until ctx ends.
 func (edge *Edge) OpenForwarded(ctx context.Context, request ebonywood.ForwardRequest) ebonywood.ForwardedSession {
-	return &forwardedSession{session: &session{edge: edge, database: request.State().Database(), forwarded: true, awaited: ctx}}
+	return &forwardedSession{session: &session{
+		edge: edge, database: request.State().Database(), workspaceName: request.State().Workspace(), forwarded: true, awaited: ctx,
+	}}
 }
 
 // forwardedSession is the part of another proxy's session that runs here.
--- a/internal/edge/sessions/forwarded_test.go
+++ b/internal/edge/sessions/forwarded_test.go
@@ -21,7 +21,7 @@
 	failing  bool
 }
 
-func (member *member) Dial(ebonywood.InstanceID, ebonywood.Member, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
+func (member *member) Dial(ebonywood.InstanceID, ebonywood.Member, string, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
 	member.mutex.Lock()
 	defer member.mutex.Unlock()
 	if member.failing {
--- a/internal/edge/sessions/maintenance.go
+++ b/internal/edge/sessions/maintenance.go
@@ -191,12 +191,12 @@
 // proves whether the member is the primary, and records the result. It does nothing if
 // it would need a further connection to an active member.
 func (pool *pool) probePrimary() {
-	conn := pool.takeIdle()
+	conn := pool.takeAnyIdle()
 	if conn == nil && pool.isActive() {
 		return
 	}
 	if conn == nil {
-		dialed, fault := pool.dial(probeDialTimeout)
+		dialed, fault := pool.dial("", probeDialTimeout)
 		if fault != nil {
 			return
 		}
@@ -273,16 +273,20 @@
 // askOnce sends a command to the member over one connection. A failure to connect or of
 // the command, other than KindOverload, starts a probe of the member.
 func (pool *pool) askOnce(command statusCommand, timeout time.Duration) (ebonywood.ReplicationStatus, *ebonywood.Fault) {
-	conn, fault := pool.connect(timeout)
-	if fault != nil {
-		return ebonywood.ReplicationStatus{}, fault
+	conn := pool.takeAnyIdle()
+	if conn == nil {
+		dialed, fault := pool.dial("", timeout)
+		if fault != nil {
+			return ebonywood.ReplicationStatus{}, fault
+		}
+		conn = dialed
 	}
 	status, err := command(conn.memberConn, timeout)
 	if err == nil {
 		pool.returnConn(conn, false)
 		return status, nil
 	}
-	fault = ebonywood.FaultOf(err)
+	fault := ebonywood.FaultOf(err)
 	refused := fault.Kind() == ebonywood.KindOverload
 	pool.returnConn(conn, !refused)
 	if !refused {
@@ -329,7 +333,7 @@
 // was stalled changes nothing.
 func (pool *pool) probeOnce() (reached, done bool) {
 	startedAt := pool.edge.now()
-	conn, position, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, probeDialTimeout)
+	conn, position, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, "", probeDialTimeout)
 	stalled := pool.edge.now()-startedAt > ebonywood.MillisOf(probeDialTimeout)+stallAllowance
 	pool.mutex.Lock()
 	closed, wasUnreachable := pool.closed, pool.unreachable
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,9 @@
 type pooledConn struct {
 	memberConn ebonywood.MemberConn
 	pool       *pool
-	settings   map[string]string
+	// workspace names the workspace whose statements the connection runs; empty for none.
+	workspace string
+	settings  map[string]string
 	// prepared holds the names of the prepared statements.
 	prepared map[string]struct{}
 	// stateUnknown reports that the connection may hold other settings and prepared
@@ -114,7 +117,7 @@
 		if fault != nil {
 			return nil, fault
 		}
-		conn, fault := pool.connect(dialTimeout)
+		conn, fault := pool.connect(attempt.workspaceName(), dialTimeout)
 		if fault == nil {
 			return &lease{pooledConn: conn, ticket: ticket, shape: shape, startedAt: time.Now()}, nil
 		}
@@ -153,29 +156,65 @@
 	return pool.closed || pool.unreachable
 }
 
-// connect returns the most recently used idle connection, so that surplus ones can
-// reach their idle limit, or opens a new one.
-func (pool *pool) connect(timeout time.Duration) (*pooledConn, *ebonywood.Fault) {
-	if conn := pool.takeIdle(); conn != nil {
+// connect returns the workspace's most recently used idle connection, so that surplus ones
+// can reach their idle limit, or opens a new one.
+func (pool *pool) connect(workspace string, timeout time.Duration) (*pooledConn, *ebonywood.Fault) {
+	if conn := pool.takeIdle(workspace); conn != nil {
 		return conn, nil
 	}
-	return pool.dial(timeout)
+	return pool.dial(workspace, timeout)
 }
 
-func (pool *pool) takeIdle() *pooledConn {
+// takeIdle returns the workspace's most recently used idle connection, nil if there is none.
+func (pool *pool) takeIdle(workspace string) *pooledConn {
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
-	count := len(pool.idle)
-	if count == 0 {
+	for i := len(pool.idle) - 1; i >= 0; i-- {
+		if pool.idle[i].workspace == workspace {
+			return pool.removeIdle(i)
+		}
+	}
+	return nil
+}
+
+// takeAnyIdle returns the most recently used idle connection of any workspace, nil if there
+// is none. It is for statements that the proxy itself issues.
+func (pool *pool) takeAnyIdle() *pooledConn {
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if len(pool.idle) == 0 {
 		return nil
 	}
-	conn := pool.idle[count-1]
-	pool.idle = pool.idle[:count-1]
+	return pool.removeIdle(len(pool.idle) - 1)
+}
+
+// removeIdle removes and returns an idle connection by its index. The mutex is held.
+func (pool *pool) removeIdle(index int) *pooledConn {
+	conn := pool.idle[index]
+	pool.idle = slices.Delete(pool.idle, index, index+1)
 	return conn
 }
 
-// dial opens a connection. A fault other than KindOverload starts a probe of the member.
-func (pool *pool) dial(timeout time.Duration) (*pooledConn, *ebonywood.Fault) {
+// closeLeastRecentlyUsed closes the idle connection that was used longest ago, if there is
+// one. The mutex is held.
+func (pool *pool) closeLeastRecentlyUsed() {
+	if len(pool.idle) == 0 {
+		return
+	}
+	pool.removeIdle(0).memberConn.Close()
+	pool.open--
+	pool.edge.counters.count("connectionsReplaced", "workspace")
+}
+
+// hasIdle reports whether there is an idle connection of the workspace. The mutex is held.
+func (pool *pool) hasIdle(workspace string) bool {
+	return slices.ContainsFunc(pool.idle, func(conn *pooledConn) bool { return conn.workspace == workspace })
+}
+
+// dial opens a connection for a workspace. If this process may open no further one, it
+// replaces an idle connection of another workspace. A fault other than KindOverload starts a
+// probe of the member.
+func (pool *pool) dial(workspace string, timeout time.Duration) (*pooledConn, *ebonywood.Fault) {
 	pool.mutex.Lock()
 	if pool.closed {
 		pool.mutex.Unlock()
@@ -185,10 +224,13 @@
 		pool.mutex.Unlock()
 		return nil, pool.fullFault()
 	}
+	if pool.open >= pool.share.maxOpen {
+		pool.closeLeastRecentlyUsed()
+	}
 	pool.open++
 	pool.dialing++
 	pool.mutex.Unlock()
-	conn, position, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, timeout)
+	conn, position, err := pool.edge.port.Dialer().Dial(pool.instance, pool.member, workspace, timeout)
 	pool.mutex.Lock()
 	pool.dialing--
 	if err == nil {
@@ -196,8 +238,8 @@
 		pool.mutex.Unlock()
 		pool.recordPosition(position)
 		return &pooledConn{
-			memberConn: conn, pool: pool, settings: map[string]string{}, prepared: map[string]struct{}{},
-			lastUsedAt: pool.edge.now(),
+			memberConn: conn, pool: pool, workspace: workspace,
+			settings: map[string]string{}, prepared: map[string]struct{}{}, lastUsedAt: pool.edge.now(),
 		}, nil
 	}
 	fault := ebonywood.FaultOf(err)
--- a/internal/edge/sessions/probe_test.go
+++ b/internal/edge/sessions/probe_test.go
@@ -15,7 +15,7 @@
 	after time.Duration
 }
 
-func (member *deafMember) Dial(ebonywood.InstanceID, ebonywood.Member, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
+func (member *deafMember) Dial(ebonywood.InstanceID, ebonywood.Member, string, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
 	time.Sleep(member.after)
 	return nil, ebonywood.Position{}, ebonywood.NewFault(ebonywood.KindUnavailable, "no response", "")
 }
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -75,7 +75,7 @@
 	tried := map[ebonywood.MemberID]bool{}
 	reply := failure(ebonywood.CodeBusy, "no member can be reached")
 	for ; attempt.tries < maxTries && attempt.remaining() > 0; attempt.tries++ {
-		pool := session.edge.chooseReader(view, attempt.floor, recent, tried)
+		pool := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName())
 		if pool == nil {
 			return reply
 		}
--- a/internal/edge/sessions/restart_test.go
+++ b/internal/edge/sessions/restart_test.go
@@ -27,7 +27,7 @@
 	<-member.slots
 }
 
-func (member *slowMember) Dial(ebonywood.InstanceID, ebonywood.Member, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
+func (member *slowMember) Dial(ebonywood.InstanceID, ebonywood.Member, string, time.Duration) (ebonywood.MemberConn, ebonywood.Position, error) {
 	member.occupy(member.handshake)
 	return &slowConn{member: member}, ebonywood.NewPosition(1, 1), nil
 }
@@ -80,7 +80,7 @@
 		var done atomic.Int64
 		for i := range callers {
 			group.Go(func() {
-				session, _ := edge.Open("shop")
+				session, _ := edge.Open("shop", ebonywood.KeyDigest{})
 				statement := ebonywood.NewStatement(fmt.Sprint(i), ebonywood.VerbWrite, "WRITE a b", "", "")
 				if session.Handle(statement).Code() == ebonywood.CodeDone {
 					done.Add(1)
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -34,6 +34,10 @@
 type session struct {
 	edge     *Edge
 	database string
+	// key is the digest of the caller's key. workspaceName names the caller's workspace as
+	// the proxy states it to which the caller of a forwarded session is connected.
+	key           ebonywood.KeyDigest
+	workspaceName string
 
 	// mutex is held while a statement runs, so that an idle transaction is only rolled
 	// back between two statements.
@@ -64,8 +68,10 @@
 
 // attempt is the state of one statement while it is being served, over all its tries.
 type attempt struct {
-	edge      *Edge
-	route     *ebonywood.Route
+	edge  *Edge
+	route *ebonywood.Route
+	// workspace is the caller's workspace; nil if it has none.
+	workspace *ebonywood.Workspace
 	startedAt time.Time
 	// asOf is the time from which a read's allowed staleness is measured.
 	asOf     ebonywood.Millis
@@ -105,6 +111,14 @@
 	return time.Until(attempt.deadline)
 }
 
+// workspaceName names the workspace whose connections the statement needs; empty for none.
+func (attempt *attempt) workspaceName() string {
+	if attempt.workspace == nil {
+		return ""
+	}
+	return attempt.workspace.Name()
+}
+
 // settle returns the caller's reply for the last try's reply. A refusal says that the
 // statement was not run, which is not known if an earlier try was sent.
 func (attempt *attempt) settle(reply ebonywood.Reply) ebonywood.Reply {
@@ -222,7 +236,10 @@
 	}
 	route, found := set.Route("", session.database)
 	if !found {
-		return nil, nil, failure(session.edge.noDatabaseCode(), "no route names this database")
+		return nil, nil, failure(session.edge.currentCode(ebonywood.CodeNoDatabase), "no route names this database")
+	}
+	if _, allowed := session.access(set, route); !allowed {
+		return nil, nil, failure(session.edge.currentCode(ebonywood.CodeDenied), keyDeniedMessage)
 	}
 	view, found := snapshot.View(route.Instances()[0])
 	if !found {
@@ -253,9 +270,10 @@
 	if awaited == nil {
 		awaited = session.edge.group.Context()
 	}
+	workspace, _ := session.access(session.edge.port.Snapshot().ObjectSet(), route)
 	return &attempt{
 		edge: session.edge, awaited: awaited,
-		route: route, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
+		route: route, workspace: workspace, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
 }
--- a/internal/edge/sessions/sessionmemory_test.go
+++ b/internal/edge/sessions/sessionmemory_test.go
@@ -22,7 +22,7 @@
 	edge := New(newServingPort())
 	edge.memory = &sessionMemory{limit: 3 << 20}
 	open := func() ebonywood.Session {
-		session, code := edge.Open("shop")
+		session, code := edge.Open("shop", ebonywood.KeyDigest{})
 		require.Equal(t, ebonywood.CodeDone, code)
 		return session
 	}
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -152,33 +152,36 @@
 	return true
 }
 
-// Open opens a session with a database. The code is CodeDone, CodeNoDatabase, or
-// CodeBusy before the first configuration, while a newer one may be missing that names the
-// database, and shortly before this process ends.
-func (edge *Edge) Open(database string) (ebonywood.Session, ebonywood.Code) {
+// Open opens a session with a database for a caller with a key. The codes are those of
+// ebonywood.Sessions.
+func (edge *Edge) Open(database string, key ebonywood.KeyDigest) (ebonywood.Session, ebonywood.Code) {
 	set := edge.port.Snapshot().ObjectSet()
 	if set == nil || edge.isNearShutdown() {
 		return nil, ebonywood.CodeBusy
 	}
-	if _, found := set.Route("", database); !found {
-		return nil, edge.noDatabaseCode()
+	route, found := set.Route("", database)
+	if !found {
+		return nil, edge.currentCode(ebonywood.CodeNoDatabase)
+	}
+	if _, allowed := set.AccessByKey(route, key); !allowed {
+		return nil, edge.currentCode(ebonywood.CodeDenied)
 	}
-	return &session{edge: edge, database: database}, ebonywood.CodeDone
+	return &session{edge: edge, database: database, key: key}, ebonywood.CodeDone
 }
 
 // configurationSettings is implemented by settings that say how old the knowledge of the
-// configuration may be for a database to be refused because no route names it.
+// configuration may be for a caller to be refused because of what the configuration lacks.
 type configurationSettings interface {
 	MaxConfigurationAge() ebonywood.Millis
 }
 
-// noDatabaseCode returns the code for a database that no route names: CodeNoDatabase, or
-// CodeBusy while a configuration with such a route may have been accepted long enough ago
+// currentCode returns the code for a database or key that the configuration lacks: the given
+// one, or CodeBusy while a configuration that has it may have been accepted long enough ago
 // that it has to be in force.
-func (edge *Edge) noDatabaseCode() ebonywood.Code {
+func (edge *Edge) currentCode(code ebonywood.Code) ebonywood.Code {
 	settings, ok := edge.port.Settings().(configurationSettings)
 	if !ok || edge.now()-edge.port.Snapshot().ObjectSetAsOf() <= settings.MaxConfigurationAge() {
-		return ebonywood.CodeNoDatabase
+		return code
 	}
 	return ebonywood.CodeBusy
 }
--- a/internal/edge/sessions/shutdown_test.go
+++ b/internal/edge/sessions/shutdown_test.go
@@ -24,7 +24,7 @@
 func TestLateWorkIsRefused(t *testing.T) {
 	port := newPort()
 	edge := New(port)
-	session, code := edge.Open("shop")
+	session, code := edge.Open("shop", ebonywood.KeyDigest{})
 	require.Equal(t, ebonywood.CodeDone, code)
 	scheduleEnd(port, shutdownMargin+500)
 	require.Equal(t, ebonywood.CodeDone, session.Handle(write).Code(), "enough time is left")
@@ -33,7 +33,7 @@
 	begin := ebonywood.NewStatement("2", ebonywood.VerbBegin, "BEGIN", "", "")
 	require.Equal(t, ebonywood.CodeBusy, session.Handle(begin).Code())
 	require.True(t, session.IsIdle())
-	_, code = edge.Open("shop")
+	_, code = edge.Open("shop", ebonywood.KeyDigest{})
 	require.Equal(t, ebonywood.CodeBusy, code)
 	require.Len(t, port.relay.requests, 1, "nothing else was sent")
 }
@@ -43,7 +43,7 @@
 func TestReplyPrecedesShutdown(t *testing.T) {
 	port := newPort()
 	port.relay.behaviours["near"] = []behaviour{hangs}
-	session, _ := New(port).Open("shop")
+	session, _ := New(port).Open("shop", ebonywood.KeyDigest{})
 	begin := ebonywood.NewStatement("1", ebonywood.VerbBegin, "BEGIN", "", "")
 	require.Equal(t, ebonywood.CodeDone, session.Handle(begin).Code())
 	scheduleEnd(port, 200)
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -35,9 +35,11 @@
 	// connection's settings are unknown after a rollback.
 	settingsChanged bool
 	failed          bool
-	// expired reports that the transaction was rolled back for being idle and that no
-	// reply has reported this yet. The reply to the next statement is CodeAborted.
-	expired bool
+	// expired reports that the transaction was rolled back between two statements and that
+	// no reply has reported this yet. The reply to the next statement is CodeAborted, with
+	// expiredMessage.
+	expired        bool
+	expiredMessage string
 }
 
 // begin opens a transaction without leasing a connection.
@@ -69,6 +71,10 @@
 func (session *session) runInTransaction(statement ebonywood.Statement) ebonywood.Reply {
 	tx := session.tx
 	tx.lastUsedAt = session.edge.now()
+	if !tx.failed && !session.IsAllowed() {
+		session.rollBackWithdrawn()
+		tx.expired, tx.expiredMessage = true, keyWithdrawnMessage
+	}
 	switch statement.Verb() {
 	case ebonywood.VerbRollback:
 		session.rollBack()
@@ -84,8 +90,7 @@
 	}
 	if tx.expired {
 		tx.expired = false
-		return ebonywood.NewFailure(ebonywood.CodeAborted, "the transaction was idle for too long and was rolled back",
-			ebonywood.TxFailed, ebonywood.Position{})
+		return ebonywood.NewFailure(ebonywood.CodeAborted, tx.expiredMessage, ebonywood.TxFailed, ebonywood.Position{})
 	}
 	if tx.failed {
 		return ebonywood.NewFailure(ebonywood.CodeMalformed, "the transaction has failed; roll it back",
@@ -331,10 +336,10 @@
 }
 
 // expireIdle rolls back transactions that have been idle for longer than the
-// configuration allows.
+// configuration allows, and those of withdrawn keys.
 func (edge *Edge) expireIdle() {
 	set := edge.port.Snapshot().ObjectSet()
-	if set == nil || set.IdleTransactionTimeout() == 0 {
+	if set == nil || set.IdleTransactionTimeout() == 0 && !set.RequiresWorkspace() {
 		return
 	}
 	edge.mutex.Lock()
@@ -344,7 +349,10 @@
 	}
 	edge.mutex.Unlock()
 	for _, session := range open {
-		session.expireIfIdle(set.IdleTransactionTimeout())
+		session.endIfWithdrawn()
+		if set.IdleTransactionTimeout() > 0 {
+			session.expireIfIdle(set.IdleTransactionTimeout())
+		}
 	}
 }
 
@@ -363,5 +371,5 @@
 	session.edge.counters.logLine("transactionIdle", "member", tx.lease.pool.member.ID(), "limitMs", int64(timeout))
 	session.rollBack()
 	session.markFailed()
-	tx.expired = true
+	tx.expired, tx.expiredMessage = true, "the transaction was idle for too long and was rolled back"
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -55,6 +55,8 @@
 	edges             []ebonywood.Edge
 	connPool          ebonywood.ConnPool
 	sessions          ebonywood.Sessions
+	rateLimiter       ebonywood.RateLimiter
+	tokenAllocator    ebonywood.TokenAllocator
 	dialer            ebonywood.Dialer
 	directory         ebonywood.Directory
 	relay             ebonywood.Relay
@@ -122,6 +124,12 @@
 	if connPool, ok := edge.(ebonywood.ConnPool); ok {
 		kernel.connPool = connPool
 	}
+	if limiter, ok := edge.(ebonywood.RateLimiter); ok {
+		kernel.rateLimiter = limiter
+	}
+	if allocator, ok := edge.(ebonywood.TokenAllocator); ok {
+		kernel.tokenAllocator = allocator
+	}
 	if sessions, ok := edge.(ebonywood.Sessions); ok {
 		kernel.sessions = sessions
 	}
@@ -323,6 +331,12 @@
 // ConnPool returns the pool of member connections; nil without a target edge.
 func (kernel *Kernel) ConnPool() ebonywood.ConnPool { return kernel.connPool }
 
+// RateLimiter returns the edge that applies the limits of workspaces; nil without one.
+func (kernel *Kernel) RateLimiter() ebonywood.RateLimiter { return kernel.rateLimiter }
+
+// TokenAllocator returns the edge that deals tokens to other proxies; nil without one.
+func (kernel *Kernel) TokenAllocator() ebonywood.TokenAllocator { return kernel.tokenAllocator }
+
 // Sessions returns the edge that opens sessions; nil without one.
 func (kernel *Kernel) Sessions() ebonywood.Sessions { return kernel.sessions }
 
--- a/object.go
+++ b/object.go
@@ -135,6 +135,8 @@
 	paid       bool
 	repeatable bool
 	objective  Objective
+	priority   int
+	public     bool
 }
 
 // NewRoute returns a route for callers that connect with user and database; an
@@ -147,9 +149,40 @@
 	return &Route{
 		name: name, user: user, database: database, instances: instances, policy: policy,
 		timeout: timeout, weight: weight, paid: paid, repeatable: repeatable, objective: objective,
+		priority: defaultPriority(paid),
 	}
 }
 
+// defaultPriority returns the priority of a route for which none is configured: 0 for paid
+// routes, 1 for the others.
+func defaultPriority(paid bool) int {
+	if paid {
+		return 0
+	}
+	return 1
+}
+
+// WithPriority returns the route with a priority; 0 is the highest.
+func (route *Route) WithPriority(priority int) *Route {
+	changed := *route
+	changed.priority = priority
+	return &changed
+}
+
+// WithPublic returns the route with or without the requirement that its callers belong to
+// a workspace.
+func (route *Route) WithPublic(public bool) *Route {
+	changed := *route
+	changed.public = public
+	return &changed
+}
+
+// Priority returns the route's priority; 0 is the highest.
+func (route *Route) Priority() int { return route.priority }
+
+// IsPublic reports whether the route's callers need not belong to a workspace.
+func (route *Route) IsPublic() bool { return route.public }
+
 // Name returns the route's name.
 func (route *Route) Name() string { return route.name }
 
@@ -191,6 +224,12 @@
 	// byDatabase holds the routes of each database, in the order of routes.
 	byDatabase             map[string][]*Route
 	idleTransactionTimeout Millis
+	// requiresWorkspace is true if the set names workspaces, even if the list is empty.
+	requiresWorkspace bool
+	workspaces        []*Workspace
+	workspaceByName   map[string]*Workspace
+	workspaceByKey    map[KeyDigest]*Workspace
+	workspaceByUser   map[string]*Workspace
 }
 
 // NewObjectSet returns a set. content is the published text and hash its name in
--- a/plugin.go
+++ b/plugin.go
@@ -67,6 +67,12 @@
 	Mirror() Mirror
 	// Directory returns the external directory; nil in a process without one.
 	Directory() Directory
+	// RateLimiter returns what applies the limits of workspaces; nil in a process
+	// without one.
+	RateLimiter() RateLimiter
+	// TokenAllocator returns what deals tokens to other proxies; nil in a process
+	// without one.
+	TokenAllocator() TokenAllocator
 }
 
 // ServiceLevels records how well the service levels of the routes are met.
--- /dev/null
+++ b/ratelimit.go
@@ -0,0 +1,169 @@
+package ebonywood
+
+import (
+	"context"
+	"time"
+)
+
+// RateLimiter applies the limits of workspaces for the whole fleet. It is safe for
+// concurrent use.
+type RateLimiter interface {
+	// Take spends a token for one operation of the workspace, and waits for one until the
+	// time given or until ctx ends. It returns false, and has spent nothing, if there is
+	// none: the operation must be refused. A workspace without a limit always gets one.
+	Take(ctx context.Context, workspace *Workspace, until time.Time) bool
+	// Return gives back the token of an operation that has reached no member.
+	Return(workspace *Workspace)
+}
+
+// TokenAllocator serves the requests of other proxies for tokens.
+type TokenAllocator interface {
+	// Allocate deals tokens. The reply has a refusal if this process is not the allocator
+	// that the request names.
+	Allocate(request TokenRequest) TokenReply
+}
+
+// TokenNeed says what a proxy holds and needs of the tokens of one workspace.
+type TokenNeed struct {
+	workspace string
+	held      int
+	wanted    int
+}
+
+// NewTokenNeed returns a need. held is how many tokens of the same allocator the proxy has
+// not spent, wanted how many it asks for.
+func NewTokenNeed(workspace string, held, wanted int) TokenNeed {
+	return TokenNeed{workspace: workspace, held: held, wanted: wanted}
+}
+
+// Workspace returns the workspace's name.
+func (need TokenNeed) Workspace() string { return need.workspace }
+
+// Held returns how many tokens of the allocator the proxy has not spent.
+func (need TokenNeed) Held() int { return need.held }
+
+// Wanted returns how many tokens the proxy asks for.
+func (need TokenNeed) Wanted() int { return need.wanted }
+
+// TokenRequest asks an allocator for tokens.
+type TokenRequest struct {
+	proxy     string
+	allocator int
+	nonce     string
+	needs     []TokenNeed
+}
+
+// NewTokenRequest returns a request of the named proxy to the allocator with a number.
+// nonce identifies the run of the allocator's process.
+func NewTokenRequest(proxy string, allocator int, nonce string, needs []TokenNeed) TokenRequest {
+	return TokenRequest{proxy: proxy, allocator: allocator, nonce: nonce, needs: needs}
+}
+
+// Proxy returns the name of the proxy that asks.
+func (request TokenRequest) Proxy() string { return request.proxy }
+
+// Allocator returns the number of the allocator.
+func (request TokenRequest) Allocator() int { return request.allocator }
+
+// Nonce identifies the run of the allocator's process.
+func (request TokenRequest) Nonce() string { return request.nonce }
+
+// Needs returns what the proxy needs, one entry for each workspace.
+func (request TokenRequest) Needs() []TokenNeed { return request.needs }
+
+// TokenGrant is the number of tokens that an allocator deals to a proxy for one workspace.
+type TokenGrant struct {
+	workspace  string
+	tokens     int
+	retryAfter Millis
+}
+
+// NewTokenGrant returns a grant. retryAfter is how long the proxy should wait before it
+// asks for more; 0 if it may ask at once.
+func NewTokenGrant(workspace string, tokens int, retryAfter Millis) TokenGrant {
+	return TokenGrant{workspace: workspace, tokens: tokens, retryAfter: retryAfter}
+}
+
+// Workspace returns the workspace's name.
+func (grant TokenGrant) Workspace() string { return grant.workspace }
+
+// Tokens returns how many tokens the proxy may spend.
+func (grant TokenGrant) Tokens() int { return grant.tokens }
+
+// RetryAfter returns how long the proxy should wait before it asks for more.
+func (grant TokenGrant) RetryAfter() Millis { return grant.retryAfter }
+
+// TokenReply is the reply to a TokenRequest.
+type TokenReply struct {
+	refusal string
+	grants  []TokenGrant
+}
+
+// NewTokenReply returns a reply with one grant for each need.
+func NewTokenReply(grants []TokenGrant) TokenReply { return TokenReply{grants: grants} }
+
+// NewTokenRefusal returns the reply of a process that is not the allocator.
+func NewTokenRefusal(reason string) TokenReply { return TokenReply{refusal: reason} }
+
+// Refusal returns why the process deals no tokens; empty if it does.
+func (reply TokenReply) Refusal() string { return reply.refusal }
+
+// Grants returns the grants.
+func (reply TokenReply) Grants() []TokenGrant { return reply.grants }
+
+// Allocator is a proxy that creates a part of the tokens of every workspace.
+type Allocator struct {
+	number  int
+	holder  string
+	address string
+	nonce   string
+}
+
+// NewAllocator returns the allocator with a number, from 0. holder is the name of the proxy
+// that is the allocator, address its peer address, and nonce identifies the run of its
+// process.
+func NewAllocator(number int, holder, address, nonce string) Allocator {
+	return Allocator{number: number, holder: holder, address: address, nonce: nonce}
+}
+
+// Number returns the allocator's number.
+func (allocator Allocator) Number() int { return allocator.number }
+
+// Holder returns the name of the proxy that is the allocator.
+func (allocator Allocator) Holder() string { return allocator.holder }
+
+// Address returns the holder's peer address.
+func (allocator Allocator) Address() string { return allocator.address }
+
+// Nonce identifies the run of the holder's process.
+func (allocator Allocator) Nonce() string { return allocator.nonce }
+
+// AllocatorsListed reports the allocators whose keys the directory holds, in the order of
+// their numbers.
+type AllocatorsListed struct {
+	allocators []Allocator
+}
+
+// NewAllocatorsListed returns the event; allocators must not be modified afterwards.
+func NewAllocatorsListed(allocators []Allocator) AllocatorsListed {
+	return AllocatorsListed{allocators: allocators}
+}
+
+// Allocators returns the allocators.
+func (event AllocatorsListed) Allocators() []Allocator { return event.allocators }
+
+func (AllocatorsListed) isEvent() {}
+
+// ClaimAllocator makes the rate limit edge claim the key of an allocator that has none, or
+// whose holder is an earlier run of this process.
+type ClaimAllocator struct {
+	number int
+}
+
+// NewClaimAllocator returns the action.
+func NewClaimAllocator(number int) ClaimAllocator { return ClaimAllocator{number: number} }
+
+// Number returns the allocator's number.
+func (action ClaimAllocator) Number() int { return action.number }
+
+func (ClaimAllocator) isAction() {}
--- a/relay.go
+++ b/relay.go
@@ -14,6 +14,7 @@
 	settings   map[string]string
 	floor      Position
 	commitAge  Millis
+	workspace  string
 }
 
 // NewSessionState returns the state of a session with a database. generation is
@@ -28,6 +29,17 @@
 	}
 }
 
+// WithWorkspace returns the state with the name of the workspace that the session belongs
+// to; empty if it belongs to none.
+func (state SessionState) WithWorkspace(workspace string) SessionState {
+	state.workspace = workspace
+	return state
+}
+
+// Workspace returns the name of the workspace that the session belongs to; empty if it
+// belongs to none.
+func (state SessionState) Workspace() string { return state.workspace }
+
 // Database returns the database with which the session was opened.
 func (state SessionState) Database() string { return state.database }
 
@@ -138,6 +150,9 @@
 	// FetchChanges requests the changes after the cursor from the mirror of the
 	// proxy at an address, which replies after the wait at the latest.
 	FetchChanges(ctx context.Context, address string, cursor Cursor, wait Millis) (MirrorPage, error)
+	// RequestTokens asks the allocator at an address for tokens. After an error the
+	// allocator may have dealt some, which are lost.
+	RequestTokens(ctx context.Context, address string, request TokenRequest) (TokenReply, error)
 }
 
 // PeerReachabilityChanged reports that a proxy responds again, or has stopped
--- a/snapshot.go
+++ b/snapshot.go
@@ -144,8 +144,13 @@
 	reportCount   int
 	isolated      bool
 	holdsDuty     bool
+	allocators    []Allocator
 }
 
+// Allocators returns the allocators of the workspaces' tokens that have a holder; none
+// unless a workspace has a limit.
+func (snapshot *Snapshot) Allocators() []Allocator { return snapshot.allocators }
+
 // HoldsDuty reports whether this process holds the duty to promote.
 func (snapshot *Snapshot) HoldsDuty() bool { return snapshot.holdsDuty }
 
@@ -265,6 +270,10 @@
 // SetDuty sets whether this process holds the duty to promote.
 func (draft *Draft) SetDuty(held bool) { draft.snapshot.holdsDuty = held }
 
+// SetAllocators sets the allocators that have a holder; the slice must not be modified
+// afterwards.
+func (draft *Draft) SetAllocators(allocators []Allocator) { draft.snapshot.allocators = allocators }
+
 // SetIsolated sets whether callers should connect to another proxy.
 func (draft *Draft) SetIsolated(isolated bool) { draft.snapshot.isolated = isolated }
 
--- a/statement.go
+++ b/statement.go
@@ -224,10 +224,11 @@
 // Dialer opens connections to members.
 type Dialer interface {
 	// Dial connects to the member of the instance within the timeout and returns
-	// the end of its log. Its faults: KindUnavailable, the member did not respond;
+	// the end of its log. workspace names the workspace whose statements run on the
+	// connection; empty if they belong to none. Its faults: KindUnavailable, the member did not respond;
 	// KindOverload, the member has too many connections; KindDenied, another member
 	// responded.
-	Dial(instance InstanceID, member Member, timeout time.Duration) (MemberConn, Position, error)
+	Dial(instance InstanceID, member Member, workspace string, timeout time.Duration) (MemberConn, Position, error)
 }
 
 // ReplicationStatus is a member's report of its own log and role.
@@ -268,6 +269,9 @@
 	Handle(statement Statement) Reply
 	// IsIdle reports whether no transaction is open.
 	IsIdle() bool
+	// IsAllowed reports whether the object set in force still permits the session: its
+	// key or user was not withdrawn.
+	IsAllowed() bool
 	// Close rolls back the open transaction, if any, when the caller has left or
 	// is disconnected.
 	Close()
@@ -291,9 +295,10 @@
 	// for them: what has not been sent to a member is then not run.
 	OpenForwarded(ctx context.Context, request ForwardRequest) ForwardedSession
 
-	// Open opens a session with a database. The code is CodeDone, CodeNoDatabase,
-	// or CodeBusy before the first configuration, while a newer one may be missing
-	// that names the database, and shortly before this process ends. The session is
-	// nil unless the code is CodeDone.
-	Open(database string) (Session, Code)
+	// Open opens a session with a database for a caller with a key. The code is
+	// CodeDone, CodeNoDatabase, CodeDenied if the key does not permit the session, or
+	// CodeBusy before the first configuration, while a newer one may be missing that
+	// names the database or the key, and shortly before this process ends. The session
+	// is nil unless the code is CodeDone.
+	Open(database string, key KeyDigest) (Session, Code)
 }
