--- a/internal/edge/sessions/maintenance.go
+++ b/internal/edge/sessions/maintenance.go
@@ -85,6 +85,9 @@
 	}
 	proxies := edge.proxyCount(snapshot, view.ID())
 	share := shareConnections(connections, proxies)
+	if snapshot.ObjectSet().RequiresWorkspace() {
+		share = shareByWorkspace(connections, proxies)
+	}
 	for _, member := range view.Members() {
 		edge.pool(view.ID(), member.Member()).trim(share, edge.slotShare(member.Member(), proxies))
 	}
@@ -145,6 +148,14 @@
 	}
 }
 
+// shareByWorkspace divides the connections to a member if each belongs to a workspace. Then
+// a proxy nearly always has a use for a further one, so each keeps an equal share and
+// replaces the connections in it.
+func shareByWorkspace(connections, proxies int) connectionShare {
+	equal := max(minConnections, (connections-reservedConnections)/max(1, proxies))
+	return connectionShare{keepOpen: equal, maxOpen: equal, openAtOnce: equal}
+}
+
 // dropUnlisted closes and removes the pools of members that no instance lists any more.
 func (edge *Edge) dropUnlisted(listed map[ebonywood.MemberID]bool) {
 	edge.mutex.Lock()
