Sessions: run small workspaces on few proxies

Each connection to a member belongs to one workspace. The number of proxies on which a workspace's statements run follows its configured rate; within these the own availability zone goes first.

--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/spread"
 )
 
 // This file implements the sending side of forwarding: if other proxies serve the
@@ -38,7 +39,11 @@
 	if session.forwarded || edge.port.Relay() == nil || snapshot.IsServed(id) {
 		return nil
 	}
-	return edge.rank(snapshot.Owners().ForInstance(id), session.workspaceKey())
+	peers := snapshot.Owners().ForInstance(id)
+	if workspace := session.workspace(); workspace != nil {
+		return edge.rank(edge.homeOrder(snapshot.ObjectSet(), id, peers, workspace))
+	}
+	return edge.rank(rotated(peers, rand.IntN(len(peers))))
 }
 
 // serversOfTransaction returns the servers for the open transaction's instance as long
@@ -51,29 +56,46 @@
 	return session.servers(tx.route.Instances()[0])
 }
 
-// rank orders proxies: those of this availability zone first, avoided ones last. Within
-// each group the order starts at a random proxy, so that the forwarding proxies spread
-// their load. For a workspace it is the workspace's rendezvous order: each connection to a
-// member belongs to one workspace, so few proxies should need connections for each.
-func (edge *Edge) rank(peers []ebonywood.PeerView, workspace string) []ebonywood.PeerView {
-	var near, far, avoided []ebonywood.PeerView
+// rotated returns the proxies in an order that starts at an offset, so that the forwarding
+// proxies spread their load.
+func rotated(peers []ebonywood.PeerView, offset int) []ebonywood.PeerView {
+	return append(slices.Clone(peers[offset:]), peers[:offset]...)
+}
+
+// rank orders groups of proxies: within each group those of this availability zone first.
+// Avoided ones come last.
+func (edge *Edge) rank(groups ...[]ebonywood.PeerView) []ebonywood.PeerView {
+	var ranked, avoided []ebonywood.PeerView
 	zone := edge.port.Settings().Zone()
-	offset := rand.IntN(len(peers))
-	if workspace != "" {
-		peers, offset = rendezvousOrder(peers, workspace), 0
-	}
-	for i := range peers {
-		server := peers[(i+offset)%len(peers)]
-		switch {
-		case edge.peer(server).isAvoided():
-			avoided = append(avoided, server)
-		case server.Zone() == zone:
-			near = append(near, server)
-		default:
-			far = append(far, server)
+	for _, group := range groups {
+		var far []ebonywood.PeerView
+		for _, server := range group {
+			switch {
+			case edge.peer(server).isAvoided():
+				avoided = append(avoided, server)
+			case server.Zone() == zone:
+				ranked = append(ranked, server)
+			default:
+				far = append(far, server)
+			}
 		}
+		ranked = append(ranked, far...)
 	}
-	return append(append(near, far...), avoided...)
+	return append(ranked, avoided...)
+}
+
+// homeOrder divides the proxies that serve an instance, in the workspace's rendezvous order,
+// into those on which the workspace's statements run and the others.
+func (edge *Edge) homeOrder(
+	set *ebonywood.ObjectSet, id ebonywood.InstanceID, peers []ebonywood.PeerView, workspace *ebonywood.Workspace,
+) (home, others []ebonywood.PeerView) {
+	connections := defaultConnections
+	if instance, found := set.Instance(id); found && instance.MaxConnections() > 0 {
+		connections = instance.MaxConnections()
+	}
+	ordered := rendezvousOrder(peers, workspace.Name())
+	count := spread.Count(workspace.Rate(), set.TotalRate(), len(peers), shareByWorkspace(connections, len(peers)).maxOpen)
+	return ordered[:count], ordered[count:]
 }
 
 // rendezvousOrder returns the proxies in the rendezvous order of a key.
@@ -85,21 +107,18 @@
 	return ordered
 }
 
-// workspaceKey returns the name of the caller's workspace, empty if it has none.
-func (session *session) workspaceKey() string {
+// workspace returns the caller's workspace, nil if it has none.
+func (session *session) workspace() *ebonywood.Workspace {
 	set := session.edge.port.Snapshot().ObjectSet()
 	if set == nil || !set.RequiresWorkspace() {
-		return ""
+		return nil
 	}
 	route, found := set.Route("", session.database)
 	if !found {
-		return ""
+		return nil
 	}
 	workspace, _ := session.access(set, route)
-	if workspace == nil {
-		return ""
-	}
-	return workspace.Name()
+	return workspace
 }
 
 // forward runs a single statement at another proxy. The next proxy is tried if one can't
--- a/object.go
+++ b/object.go
@@ -230,6 +230,7 @@
 	workspaceByName   map[string]*Workspace
 	workspaceByKey    map[KeyDigest]*Workspace
 	workspaceByUser   map[string]*Workspace
+	totalRate         float64
 }
 
 // NewObjectSet returns a set. content is the published text and hash its name in
--- a/workspace.go
+++ b/workspace.go
@@ -68,12 +68,13 @@
 // From then on callers need a key or a user of a workspace, except on public routes.
 func (set *ObjectSet) WithWorkspaces(workspaces []*Workspace) *ObjectSet {
 	changed := *set
-	changed.requiresWorkspace = true
+	changed.requiresWorkspace, changed.totalRate = true, 0
 	changed.workspaces = workspaces
 	changed.workspaceByName = make(map[string]*Workspace, len(workspaces))
 	changed.workspaceByKey = map[KeyDigest]*Workspace{}
 	changed.workspaceByUser = map[string]*Workspace{}
 	for _, workspace := range workspaces {
+		changed.totalRate += workspace.rate
 		changed.workspaceByName[workspace.name] = workspace
 		for _, key := range workspace.keys {
 			changed.workspaceByKey[key] = workspace
@@ -92,6 +93,9 @@
 // Workspaces returns all workspaces; the slice must not be modified.
 func (set *ObjectSet) Workspaces() []*Workspace { return set.workspaces }
 
+// TotalRate returns the sum of the workspaces' rates, in operations per second.
+func (set *ObjectSet) TotalRate() float64 { return set.totalRate }
+
 // Workspace finds a workspace by its name.
 func (set *ObjectSet) Workspace(name string) (*Workspace, bool) {
 	workspace, found := set.workspaceByName[name]
