--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -158,8 +158,9 @@
 // proxies don't wait for them to expire.
 func (edge *Edge) Run(ctx context.Context) error {
 	directory := edge.port.Directory()
-	mirror := newMirror(edge,
-		prefixHandler{prefix: directory.ConfigurationKey(), handle: edge.applyConfiguration},
+	mirror := newMirror(edge)
+	mirror.handle(
+		prefixHandler{prefix: directory.ConfigurationKey(), handle: mirror.applyConfiguration},
 		prefixHandler{prefix: directory.MemberPrefix(), handle: edge.applyMembers},
 		prefixHandler{prefix: proxyPrefix, handle: edge.applyProxyKeys},
 	)
@@ -263,21 +264,6 @@
 	return time.Since(edge.recoveredAt)
 }
 
-// applyConfiguration posts the decoded configuration to the control loop. If it can't
-// be decoded, the previous one stays in force.
-func (edge *Edge) applyConfiguration(ctx context.Context, items map[string]ebonywood.Item, _ int64) {
-	item, found := items[edge.port.Directory().ConfigurationKey()]
-	if !found {
-		return
-	}
-	set, err := decodeItem(edge.port.Directory().DecodeConfiguration, item)
-	if err != nil {
-		edge.port.Log().Error(err, "configuration refused", "revision", item.Revision())
-		return
-	}
-	_ = edge.port.Post(ctx, ebonywood.NewObjectSetReceived(set))
-}
-
 // decodeItem decodes an item that another program wrote. A panic is returned as an error:
 // every proxy reads the same items, so one that can't be handled would end all of them,
 // again after each restart. A decoder holds no state that a panic could leave broken.
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -131,6 +131,7 @@
 // followers of this process and to the handlers.
 func (mirror *mirror) applyPage(ctx context.Context, page ebonywood.MirrorPage) {
 	mirror.merge(page)
+	mirror.keepNewestConfiguration()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.revision)
 	mirror.dispatch(ctx, func(prefix string) bool { return page.IsFull() || mirror.affects(page.Items(), prefix) })
 }
@@ -199,12 +200,13 @@
 	if mirror.edge.port.Relay() == nil || len(mirror.items) > 0 {
 		return
 	}
-	pages := mirror.fetchSeedPages(ctx, mirror.edge.port.Settings().Seeds())
+	pages := mirror.fetchSeedPages(ctx, mirror.edge.port.Settings().Seeds(), ebonywood.Cursor{})
 	if len(pages) == 0 {
 		return
 	}
 	newest := pages[0]
-	for _, candidate := range pages[1:] {
+	for _, candidate := range pages {
+		mirror.examinePage(candidate.page)
 		if candidate.isNewerThan(newest) {
 			newest = candidate
 		}
@@ -214,16 +216,16 @@
 }
 
 // fetchSeedPages requests the mirrors of all seeds at the same time, and returns those
-// that hold any items.
-func (mirror *mirror) fetchSeedPages(ctx context.Context, seeds []string) (pages []seedPage) {
+// that hold any items. The items up to the cursor's revision come without values.
+func (mirror *mirror) fetchSeedPages(ctx context.Context, seeds []string, cursor ebonywood.Cursor) (pages []seedPage) {
 	var group rungroup.Group
 	var mutex sync.Mutex
 	for _, seed := range seeds {
 		group.Go(func(context.Context) error {
 			callCtx, cancel := context.WithTimeout(ctx, seedTimeout)
 			defer cancel()
-			page, err := mirror.edge.port.Relay().FetchChanges(callCtx, seed, ebonywood.Cursor{}, 0)
-			if err != nil || len(page.Items()) == 0 {
+			page, err := mirror.edge.port.Relay().FetchChanges(callCtx, seed, cursor, 0)
+			if err != nil || len(page.Items())+len(page.Unchanged()) == 0 {
 				return nil
 			}
 			mutex.Lock()
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -50,6 +50,8 @@
 	edge     *Edge
 	handlers []prefixHandler
 	items    map[string]ebonywood.Item
+	// configuration is the newest valid configuration.
+	configuration configurationCopy
 	// expired contains the keys of retained entries that the directory no longer holds.
 	expired map[string]bool
 	// revision is the revision of the directory up to which items contains every
@@ -74,10 +76,13 @@
 	handle func(ctx context.Context, items map[string]ebonywood.Item, revision int64)
 }
 
-func newMirror(edge *Edge, handlers ...prefixHandler) *mirror {
-	return &mirror{
-		edge: edge, handlers: handlers, expired: map[string]bool{}, rejectedUntil: map[string]ebonywood.Millis{},
-	}
+func newMirror(edge *Edge) *mirror {
+	return &mirror{edge: edge, expired: map[string]bool{}, rejectedUntil: map[string]ebonywood.Millis{}}
+}
+
+// handle adds handlers, which are called in order.
+func (mirror *mirror) handle(handlers ...prefixHandler) {
+	mirror.handlers = append(mirror.handlers, handlers...)
 }
 
 // dispatch passes the items under each prefix for which changed returns true to the
@@ -252,7 +257,13 @@
 			mirror.expired[key] = true
 		}
 	}
+	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
+	mirror.keepNewestConfiguration()
+	if isFirst {
+		mirror.askSeedsForConfiguration(ctx, revision)
+		mirror.keepNewestConfiguration()
+	}
 	startedAt := mirror.edge.port.Clock().Now() - ebonywood.MillisOf(time.Since(start))
 	mirror.edge.feed.update(items, startedAt, revision)
 	mirror.dispatch(ctx, func(string) bool { return true })
@@ -306,6 +317,7 @@
 	for _, change := range changes {
 		mirror.applyChange(change)
 	}
+	mirror.keepNewestConfiguration()
 	purged := mirror.purgeExpired()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now(), mirror.revision)
 	mirror.dispatch(ctx, func(prefix string) bool {
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -60,7 +60,7 @@
 // fakePort provides the fakes and discards events.
 type fakePort struct {
 	ebonywood.Port
-	directory *fakeDirectory
+	directory ebonywood.Directory
 	relay     ebonywood.Relay
 	snapshot  *ebonywood.Snapshot
 	posted    *ebonywood.Event
@@ -70,9 +70,14 @@
 func (port fakePort) Snapshot() *ebonywood.Snapshot { return port.snapshot }
 func (port fakePort) Settings() ebonywood.Settings  { return fakeSettings{} }
 
-func (port fakePort) Clock() ebonywood.Clock         { return clock.Monotonic{} }
-func (port fakePort) Directory() ebonywood.Directory { return port.directory }
-func (port fakePort) Log() logr.Logger               { return logr.Discard() }
+func (port fakePort) Clock() ebonywood.Clock { return clock.Monotonic{} }
+func (port fakePort) Directory() ebonywood.Directory {
+	if port.directory == nil {
+		return &fakeDirectory{}
+	}
+	return port.directory
+}
+func (port fakePort) Log() logr.Logger { return logr.Discard() }
 
 // Post keeps the last event if the test asks for it, and discards it otherwise.
 func (port fakePort) Post(_ context.Context, event ebonywood.Event) error {
@@ -170,7 +175,10 @@
 		"members/m1": ebonywood.NewItem("members/m1", nil, 2),
 	}, 2)
 	require.Len(t, posted.(ebonywood.MembersListed).Members(), 1)
-	edge.applyConfiguration(t.Context(), map[string]ebonywood.Item{"configuration": ebonywood.NewItem("configuration", nil, 3)}, 3)
+	mirror := newMirror(edge)
+	mirror.items = map[string]ebonywood.Item{"configuration": ebonywood.NewItem("configuration", nil, 3)}
+	mirror.keepNewestConfiguration()
+	mirror.applyConfiguration(t.Context(), mirror.items, 3)
 	require.IsType(t, ebonywood.MembersListed{}, posted, "the previous configuration stays in force")
 }
 
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -38,7 +38,7 @@
 	if session.forwarded || edge.port.Relay() == nil || snapshot.IsServed(id) {
 		return nil
 	}
-	return edge.rank(snapshot.Owners().ForInstance(id), session.workspaceKey())
+	return edge.rank(snapshot.Owners().ForInstance(id), session.workspace)
 }
 
 // serversOfTransaction returns the servers for the open transaction's instance as long
@@ -55,12 +55,12 @@
 // each group the order starts at a random proxy, so that the forwarding proxies spread
 // their load. For a workspace it is the workspace's rendezvous order: each connection to a
 // member belongs to one workspace, so few proxies should need connections for each.
-func (edge *Edge) rank(peers []ebonywood.PeerView, workspace string) []ebonywood.PeerView {
+func (edge *Edge) rank(peers []ebonywood.PeerView, workspace *ebonywood.Workspace) []ebonywood.PeerView {
 	var near, far, avoided []ebonywood.PeerView
 	zone := edge.port.Settings().Zone()
 	offset := rand.IntN(len(peers))
-	if workspace != "" {
-		peers, offset = rendezvousOrder(peers, workspace), 0
+	if workspace != nil {
+		peers, offset = rendezvousOrder(peers, workspace.Name()), 0
 	}
 	for i := range peers {
 		server := peers[(i+offset)%len(peers)]
@@ -85,23 +85,6 @@
 	return ordered
 }
 
-// workspaceKey returns the name of the caller's workspace, empty if it has none.
-func (session *session) workspaceKey() string {
-	set := session.edge.port.Snapshot().ObjectSet()
-	if set == nil || !set.RequiresWorkspace() {
-		return ""
-	}
-	route, found := set.Route("", session.database)
-	if !found {
-		return ""
-	}
-	workspace, _ := session.access(set, route)
-	if workspace == nil {
-		return ""
-	}
-	return workspace.Name()
-}
-
 // forward runs a single statement at another proxy. The next proxy is tried if one can't
 // be reached or refuses the statement, or if the reply to a read is lost.
 func (session *session) forward(
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -195,12 +195,9 @@
 	return conn
 }
 
-// closeLeastRecentlyUsed closes the idle connection that was used longest ago, if there is
-// one. The mutex is held.
+// closeLeastRecentlyUsed closes the idle connection that was used longest ago. There is one,
+// and the mutex is held.
 func (pool *pool) closeLeastRecentlyUsed() {
-	if len(pool.idle) == 0 {
-		return
-	}
 	pool.removeIdle(0).memberConn.Close()
 	pool.open--
 	pool.edge.counters.count("connectionsReplaced", "workspace")
@@ -224,7 +221,8 @@
 		pool.mutex.Unlock()
 		return nil, pool.fullFault()
 	}
-	if pool.open >= pool.share.maxOpen {
+	// After a share became smaller, there may be several connections too many.
+	for pool.open >= pool.share.maxOpen && len(pool.idle) > 0 {
 		pool.closeLeastRecentlyUsed()
 	}
 	pool.open++
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -38,6 +38,10 @@
 	// the proxy states it to which the caller of a forwarded session is connected.
 	key           ebonywood.KeyDigest
 	workspaceName string
+	// workspace is the caller's workspace as of the start of the latest operation; nil if it
+	// had none. A whole operation runs for this workspace, also if a configuration without
+	// the key takes effect meanwhile.
+	workspace *ebonywood.Workspace
 
 	// mutex is held while a statement runs, so that an idle transaction is only rolled
 	// back between two statements.
@@ -223,8 +227,8 @@
 	return session.tx == nil
 }
 
-// route returns the route of the session's database and the view of its instance. The
-// route is nil if the statement has to be refused with the reply.
+// route returns the route of the session's database and the view of its instance, and sets
+// the session's workspace. The route is nil if the statement has to be refused with the reply.
 func (session *session) route() (*ebonywood.Route, *ebonywood.InstanceView, ebonywood.Reply) {
 	snapshot := session.edge.port.Snapshot()
 	set := snapshot.ObjectSet()
@@ -238,9 +242,11 @@
 	if !found {
 		return nil, nil, failure(session.edge.currentCode(ebonywood.CodeNoDatabase), "no route names this database")
 	}
-	if _, allowed := session.access(set, route); !allowed {
+	workspace, allowed := session.access(set, route)
+	if !allowed {
 		return nil, nil, failure(session.edge.currentCode(ebonywood.CodeDenied), keyDeniedMessage)
 	}
+	session.workspace = workspace
 	view, found := snapshot.View(route.Instances()[0])
 	if !found {
 		return nil, nil, failure(ebonywood.CodeBusy, "no member of the instance is listed")
@@ -270,10 +276,9 @@
 	if awaited == nil {
 		awaited = session.edge.group.Context()
 	}
-	workspace, _ := session.access(session.edge.port.Snapshot().ObjectSet(), route)
 	return &attempt{
 		edge: session.edge, awaited: awaited,
-		route: route, workspace: workspace, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
+		route: route, workspace: session.workspace, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
 }
