Workspaces in object files, and users without a workspace refused

Cause: the PostgreSQL product had no workspaces, and the checks of the platform's workspaces were part of the decoder of the store.

Object files have workspaces with users, priority, rate and burst, and routes have priority and public. internal/workspacecheck checks workspaces of either source; it sees digests of keys only. A burst without a rate and an entry listed twice in one workspace are warnings: object files with them are refused, since their operator can mend them first, but the store's configuration stays valid, because a refusal would keep the last one in force on all proxies.

The PostgreSQL front refuses a user of no workspace with SQLSTATE 28000, also in sessions whose user a new set leaves out; these end between transactions.

Fault found: a drain that began during a caller's start-up set the deadline that ends the session, the end of the start-up cleared it, and nothing set it again.

--- a/fault.go
+++ b/fault.go
@@ -32,6 +32,8 @@
 	// KindDenied is a failed authentication. From a Dialer it means that another
 	// member than the expected one responded.
 	KindDenied
+	// KindForbidden is an authenticated caller that may not use the route.
+	KindForbidden
 )
 
 // SQLSTATE codes that the proxy itself issues.
@@ -45,6 +47,7 @@
 	sqlStateConflict    = "40001"
 	sqlStateUnavailable = "08001"
 	sqlStateDenied      = "28P01"
+	sqlStateForbidden   = "28000"
 )
 
 // SQLState returns the SQLSTATE code that a caller receives for the kind.
@@ -66,6 +69,8 @@
 		return sqlStateUnavailable
 	case KindDenied:
 		return sqlStateDenied
+	case KindForbidden:
+		return sqlStateForbidden
 	default:
 		return sqlStateInternal
 	}
@@ -90,6 +95,8 @@
 		return "unavailable"
 	case KindDenied:
 		return "denied"
+	case KindForbidden:
+		return "forbidden"
 	default:
 		return "internal"
 	}
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -32,7 +32,18 @@
 		Term    uint64 `json:"term"`
 		Primary string `json:"primary"`
 	} `json:"instances"`
-	Violations map[string]int `json:"violations"`
+	Workspaces []workspaceStatus `json:"workspaces"`
+	Violations map[string]int    `json:"violations"`
+}
+
+// workspaceStatus is a workspace in a proxyStatus. Proxies report no keys.
+type workspaceStatus struct {
+	Name     string  `json:"name"`
+	Priority int     `json:"priority"`
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	Keys     int     `json:"keys"`
+	Users    int     `json:"users"`
 }
 
 // fetch gets one page of a proxy's operator address and decodes its JSON into
@@ -77,10 +88,11 @@
 	return command
 }
 
-// printStatus prints one table row for each proxy and instance. It returns the last
+// printStatus prints one table row for each proxy and instance, and the workspaces. It returns the last
 // error of a proxy that could not be queried.
 func printStatus(command *cobra.Command, proxies []string) error {
 	table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	var newest proxyStatus
 	fmt.Fprintln(table, "proxy\tzone\tgeneration\tpeers\tinstance\tterm\tprimary\tviolations")
 	var lastErr error
 	for _, address := range proxies {
@@ -90,6 +102,9 @@
 			lastErr = err
 			continue
 		}
+		if status.Generation >= newest.Generation {
+			newest = status
+		}
 		violations := 0
 		for _, count := range status.Violations {
 			violations += count
@@ -102,9 +117,30 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if err := printWorkspaces(command, newest); err != nil {
+		return err
+	}
 	return lastErr
 }
 
+// printWorkspaces prints one table row for each workspace of the newest generation.
+func printWorkspaces(command *cobra.Command, status proxyStatus) error {
+	if len(status.Workspaces) == 0 {
+		return nil
+	}
+	fmt.Fprintf(command.OutOrStdout(), "\nworkspaces of generation %d\n", status.Generation)
+	table := tabwriter.NewWriter(command.OutOrStdout(), 0, 0, 2, ' ', 0)
+	fmt.Fprintln(table, "workspace\tpriority\trate\tburst\tkeys\tusers")
+	for _, workspace := range status.Workspaces {
+		rate := "no limit"
+		if workspace.Rate > 0 {
+			rate = fmt.Sprintf("%g/s", workspace.Rate)
+		}
+		fmt.Fprintf(table, "%s\t%d\t%s\t%g\t%d\t%d\n", workspace.Name, workspace.Priority, rate, workspace.Burst, workspace.Keys, workspace.Users)
+	}
+	return table.Flush()
+}
+
 // awaitGeneration polls the proxies until each has applied the generation or a
 // later one. After the timeout it returns a fault that names those that have not.
 func awaitGeneration(command *cobra.Command, proxies []string, generation uint64, timeout time.Duration) error {
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/ebonywood/ebonywood/internal/credentials"
 	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/invariant"
+	"github.com/ebonywood/ebonywood/internal/metrics"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/retry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -56,8 +57,9 @@
 	// sessions holds the sessions by the process ID sent to the caller.
 	sessions map[uint32]*callerSession
 	// budgets holds the retry budgets by the name of the route.
-	budgets map[string]*retry.Budget
-	random  *rand.Rand
+	budgets  map[string]*retry.Budget
+	random   *rand.Rand
+	refusals *metrics.Refusals
 	// meters maps a meterKey to its *meter.
 	meters sync.Map
 
@@ -76,7 +78,8 @@
 	}
 	edge := &Edge{
 		port: port, listener: listener, sessions: map[uint32]*callerSession{},
-		budgets: map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		refusals: metrics.NewRefusals(port.Metrics()),
+		budgets:  map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return edge, edge.loadSecurity()
 }
@@ -112,6 +115,7 @@
 	group := rungroup.New(context.Background())
 	stopClosing := context.AfterFunc(ctx, func() { _ = edge.listener.Close() })
 	defer stopClosing()
+	group.Go(edge.watchWorkspaces)
 	err := edge.accept(ctx, group)
 	if ctx.Err() == nil {
 		group.Stop()
@@ -198,7 +202,7 @@
 	if !session.startUp(ctx) {
 		return
 	}
-	_ = session.socket.SetDeadline(time.Time{})
+	session.clearDeadlines()
 	defer edge.removeSession(session)
 	session.serveRequests(ctx)
 }
--- a/internal/edge/caller/caller_test.go
+++ b/internal/edge/caller/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -71,3 +72,15 @@
 	caller.recordMetrics(nil, time.Millisecond)
 	require.Equal(t, []bool{true, false, false, true}, port.served)
 }
+
+// TestDrainDuringStartUpEndsTheSession guards against a drain that waits for an idle session:
+// the end of the start-up cleared the deadline with which the drain had ended the session.
+func TestDrainDuringStartUpEndsTheSession(t *testing.T) {
+	socket, other := net.Pipe()
+	t.Cleanup(func() { _ = other.Close() })
+	session := &callerSession{socket: socket}
+	session.closeWhenIdle()
+	session.clearDeadlines()
+	_, err := socket.Read(make([]byte, 1))
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -30,6 +30,7 @@
 	// pid and secret authenticate cancel requests for the session.
 	pid      uint32
 	secret   uint32
+	user     string
 	route    *ebonywood.Route
 	instance ebonywood.InstanceID
 	// state tracks the session's floor.
@@ -44,7 +45,7 @@
 	settings string
 
 	// mutex guards the fields that other goroutines use: lease, for a cancel request,
-	// and busy and closing, for a drain.
+	// busy and closing, for a drain, and removed, for a new object set.
 	mutex sync.Mutex
 	// lease is the target connection of the open transaction; nil if none is open.
 	lease ebonywood.PooledConn
@@ -52,12 +53,16 @@
 	busy bool
 	// closing is set when the session must end after the open transaction.
 	closing bool
+	// removed is set when the session must end because its user belongs to no workspace any
+	// more.
+	removed bool
 }
 
 // serveRequests serves requests until the caller disconnects or the session is
 // drained.
 func (caller *callerSession) serveRequests(ctx context.Context) {
 	defer caller.releaseLease()
+	defer caller.sendRemoval()
 	for {
 		request, err := caller.readRequest()
 		if err != nil {
@@ -85,13 +90,17 @@
 	}
 }
 
-// beginRequest marks the session as busy. It reports false if the session is closing
-// and no transaction is open, in which case the request must not be run.
+// beginRequest marks the session as busy. It reports false if the session is closing, or its
+// user was removed, and no transaction is open, in which case the request must not be run.
 func (caller *callerSession) beginRequest() bool {
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
 	caller.busy = true
-	return !caller.closing || caller.lease != nil
+	if caller.lease != nil {
+		return true
+	}
+	caller.removed = caller.removed || !caller.isAllowed()
+	return !caller.closing && !caller.removed
 }
 
 // endRequest updates busy and reports whether the session continues.
@@ -99,7 +108,21 @@
 	caller.mutex.Lock()
 	defer caller.mutex.Unlock()
 	caller.busy = caller.lease != nil
-	return caller.busy || !caller.closing
+	if caller.busy {
+		return true
+	}
+	caller.removed = caller.removed || !caller.isAllowed()
+	return !caller.closing && !caller.removed
+}
+
+// clearDeadlines ends the time limit for the start-up, unless the session has to end: the
+// deadline is then what ends it.
+func (caller *callerSession) clearDeadlines() {
+	caller.mutex.Lock()
+	defer caller.mutex.Unlock()
+	if !caller.closing && !caller.removed {
+		_ = caller.socket.SetDeadline(time.Time{})
+	}
 }
 
 // closeWhenIdle makes the session end after the open transaction, or immediately if
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -101,11 +101,11 @@
 	}
 	caller.frames = frame.NewReader(caller.socket)
 	if err := caller.authenticate(message.Parameters["user"]); err != nil {
-		caller.sendFatal(err)
+		caller.refuse(err, message.Parameters["user"])
 		return false
 	}
 	if err := caller.attach(message.Parameters); err != nil {
-		caller.sendFatal(err)
+		caller.refuse(err, message.Parameters["user"])
 		return false
 	}
 	secret := binary.BigEndian.AppendUint32(nil, caller.secret)
@@ -144,10 +144,22 @@
 	if err != nil {
 		return err
 	}
-	caller.route = route
+	caller.user, caller.route = user, route
+	if !caller.isAllowed() {
+		return caller.forbiddenFault()
+	}
 	caller.instance = chooseInstance(route, parameters)
 	caller.state.Attach(token, caller.edge.port.Clock().Now())
-	return caller.edge.addSession(caller)
+	if err := caller.edge.addSession(caller); err != nil {
+		return err
+	}
+	if !caller.isAllowed() {
+		// The user was removed before the session was registered, so closeRemoved has not
+		// seen it.
+		caller.edge.removeSession(caller)
+		return caller.forbiddenFault()
+	}
+	return nil
 }
 
 // chooseInstance returns the route's instance "group/instance" whose last part equals the
@@ -177,6 +189,16 @@
 	return ebonywood.ParsePosition(token)
 }
 
+// refuse counts a refused caller and sends the error.
+func (caller *callerSession) refuse(err error, user string) {
+	var workspace *ebonywood.Workspace
+	if set := caller.edge.port.Snapshot().ObjectSet(); set != nil {
+		workspace, _ = set.WorkspaceByUser(user)
+	}
+	caller.edge.refusals.Count(ebonywood.FaultOf(err).Kind().String(), workspace)
+	caller.sendFatal(err)
+}
+
 // sendFatal sends an error of severity FATAL, after which the session ends.
 func (caller *callerSession) sendFatal(err error) {
 	caller.writeFault(ebonywood.FaultOf(err), "FATAL")
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -100,14 +100,25 @@
 
 // statusReport is the state of a process as 'ebonywood status' reads it.
 type statusReport struct {
-	Name       string           `json:"name"`
-	Zone       string           `json:"zone"`
-	Generation uint64           `json:"generation"`
-	Hash       string           `json:"hash"`
-	Draining   bool             `json:"draining"`
-	Peers      []string         `json:"peers"`
-	Instances  []instanceReport `json:"instances"`
-	Violations map[string]int   `json:"violations"`
+	Name       string            `json:"name"`
+	Zone       string            `json:"zone"`
+	Generation uint64            `json:"generation"`
+	Hash       string            `json:"hash"`
+	Draining   bool              `json:"draining"`
+	Peers      []string          `json:"peers"`
+	Instances  []instanceReport  `json:"instances"`
+	Workspaces []workspaceReport `json:"workspaces,omitempty"`
+	Violations map[string]int    `json:"violations"`
+}
+
+// workspaceReport is a workspace with the numbers of its keys and users.
+type workspaceReport struct {
+	Name     string  `json:"name"`
+	Priority int     `json:"priority"`
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	Keys     int     `json:"keys"`
+	Users    int     `json:"users"`
 }
 
 type instanceReport struct {
@@ -126,6 +137,12 @@
 	}
 	if set := snapshot.ObjectSet(); set != nil {
 		response.Generation, response.Hash = set.Generation(), set.Hash()
+		for _, workspace := range set.Workspaces() {
+			response.Workspaces = append(response.Workspaces, workspaceReport{
+				Name: workspace.Name(), Priority: workspace.Priority(), Rate: workspace.Rate(), Burst: workspace.Burst(),
+				Keys: len(workspace.Keys()), Users: len(workspace.Users()),
+			})
+		}
 		for _, instance := range set.Instances() {
 			if view, found := snapshot.View(instance.ID()); found {
 				response.Instances = append(response.Instances, instanceReport{
--- a/internal/objectfile/objectfile.go
+++ b/internal/objectfile/objectfile.go
@@ -21,14 +21,16 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/workspacecheck"
 	"github.com/ebonywood/ebonywood/internal/yamlobject"
 )
 
 // Kinds of objects, the values of the field kind.
 const (
-	kindGroup  = "databaseGroup"
-	kindPolicy = "readPolicy"
-	kindRoute  = "route"
+	kindGroup     = "databaseGroup"
+	kindPolicy    = "readPolicy"
+	kindRoute     = "route"
+	kindWorkspace = "workspace"
 )
 
 // fileMarker starts the comment line that names the file in a joined text.
@@ -58,11 +60,16 @@
 	parser := newParser(content)
 	parser.readDocuments(content)
 	parser.resolveRoutes()
+	parser.checkWorkspaces()
 	if len(parser.faults) > 0 {
 		return nil, ebonywood.NewFault(ebonywood.KindBadInput, strings.Join(parser.faults, "\n"),
 			"fix these and check the set again")
 	}
-	return ebonywood.NewObjectSet(generation, Hash(content), content, parser.instances, parser.routes), nil
+	set := ebonywood.NewObjectSet(generation, Hash(content), content, parser.instances, parser.routes)
+	if len(parser.workspaces) > 0 {
+		set = set.WithWorkspaces(parser.workspaces)
+	}
+	return set, nil
 }
 
 // parser holds the objects and faults found so far. Routes are pending until all
@@ -78,6 +85,9 @@
 	addresses     map[string]string
 	instances     []ebonywood.Instance
 	routes        []*ebonywood.Route
+	workspaces    []*ebonywood.Workspace
+	// workspaceFields holds the mapping of each workspace.
+	workspaceFields []yamlobject.Object
 }
 
 // fileStart is the line of the joined text at which a file's marker is.
@@ -187,7 +197,7 @@
 	}
 }
 
-// readObject reads a group or policy, or stores a route for resolveRoutes.
+// readObject reads a group, a policy or a workspace, or stores a route for resolveRoutes.
 func (parser *parser) readObject(node *yaml.Node) {
 	fields := yamlobject.New(node, "object", parser.reportFault)
 	kind := fields.Text("kind", "")
@@ -207,8 +217,10 @@
 		parser.readPolicy(fields, name)
 	case kindRoute:
 		parser.pendingRoutes = append(parser.pendingRoutes, pendingRoute{fields})
+	case kindWorkspace:
+		parser.readWorkspace(fields, name)
 	default:
-		fields.ReportFault(node.Line, "kind", fmt.Sprintf("%q is unknown", kind), "use databaseGroup, readPolicy or route")
+		fields.ReportFault(node.Line, "kind", fmt.Sprintf("%q is unknown", kind), "use databaseGroup, readPolicy, route or workspace")
 	}
 }
 
@@ -277,6 +289,32 @@
 	fields.RejectUnknown()
 }
 
+// readWorkspace reads a workspace, which checkWorkspaces checks.
+func (parser *parser) readWorkspace(fields yamlobject.Object, name string) {
+	users := fields.Texts("users")
+	priority := fields.Integer("priority", 0)
+	rate, burst := fields.Quantity("rate"), fields.Quantity("burst")
+	fields.RejectUnknown()
+	parser.workspaces = append(parser.workspaces, ebonywood.NewWorkspace(name, nil, users, priority).WithRate(rate, burst))
+	parser.workspaceFields = append(parser.workspaceFields, fields)
+}
+
+// checkWorkspaces reports the faults and warnings of all workspaces. Missing and repeated names
+// are reported by readObject.
+func (parser *parser) checkWorkspaces() {
+	for _, fault := range workspacecheck.Check(parser.workspaces) {
+		if fault.Field() == workspacecheck.FieldName {
+			continue
+		}
+		fields, name := parser.workspaceFields[fault.Index()], fault.Field().String()
+		line := fields.Line(name)
+		if node := fields.Child(name); node != nil && fault.Entry() < len(node.Content) {
+			line = node.Content[fault.Entry()].Line
+		}
+		fields.ReportFault(line, name, fault.Message(), fault.Remedy())
+	}
+}
+
 // resolveRoutes reads the pending routes after all groups and policies were read.
 func (parser *parser) resolveRoutes() {
 	subjects := map[string]string{}
@@ -314,8 +352,10 @@
 		fields.ReportFault(fields.Line("deadline"), "deadline", "is 0 while the policy waits", "set a positive deadline")
 	}
 	objective := parser.readObjective(fields, deadline)
-	parser.routes = append(parser.routes, ebonywood.NewRoute(name, user, database, group.instances, policy, deadline,
-		fields.Number("weight", 1, 1), fields.Flag("paid"), fields.Flag("repeatable"), objective))
+	route := ebonywood.NewRoute(name, user, database, group.instances, policy, deadline,
+		fields.Number("weight", 1, 1), fields.Flag("paid"), fields.Flag("repeatable"), objective)
+	route = route.WithPriority(fields.Number("priority", route.Priority(), 0)).WithPublic(fields.Flag("public"))
+	parser.routes = append(parser.routes, route)
 	fields.RejectUnknown()
 }
 
--- a/internal/objectfile/objectfile_test.go
+++ b/internal/objectfile/objectfile_test.go
@@ -29,6 +29,17 @@
 readPolicy: catalogue
 deadline: 2s
 objective: {share: 0.99, latency: 500ms}
+---
+kind: workspace
+name: repair-shop
+users: [web, till]
+rate: 50
+burst: 10
+---
+kind: workspace
+name: office
+users: [clerk]
+priority: 1
 `
 
 func parse(text string) (*ebonywood.ObjectSet, error) {
@@ -57,6 +68,17 @@
 		{"two members", "  - {name: m2, zone: kagoshima, address: \"10.0.0.3:5432\"}\n", "", "members has 2 entries; list an odd number"},
 		{"objective beyond deadline", "latency: 500ms", "latency: 5s", "objective.latency is beyond the route's deadline"},
 		{"unknown kind", "kind: readPolicy", "kind: policy", `kind "policy" is unknown; use databaseGroup`},
+		{"user of two workspaces", "[clerk]", "\n- clerk\n- till", `set.yaml:32: workspace/office: users has an entry that workspace "repair-shop" has, too: "till"; leave it`},
+		{"user twice", "[clerk]", "[clerk, clerk]", `set.yaml:30: workspace/office: users has an entry twice: "clerk"; list it once`},
+		{"empty user", "[clerk]", `[""]`, "set.yaml:30: workspace/office: users has an empty user; remove it"},
+		{"workspace name twice", "name: office", "name: repair-shop", "set.yaml:28: workspace/repair-shop: name is used by the object at set.yaml:22"},
+		{"negative rate", "rate: 50", "rate: -50", "set.yaml:25: workspace/repair-shop: rate -50 is negative; write 0 or more"},
+		{"negative burst", "burst: 10", "burst: -1", "set.yaml:26: workspace/repair-shop: burst -1 is negative"},
+		{"negative priority", "priority: 1", "priority: -1", "set.yaml:31: workspace/office: priority -1 is negative"},
+		{"burst without rate", "rate: 50", "rate: 0", "set.yaml:26: workspace/repair-shop: burst 10 has no effect, since there is no rate; set a rate"},
+		{"rate that is no number", "rate: 50", "rate: NaN", `set.yaml:25: workspace/repair-shop: rate "NaN" is not a number`},
+		{"key in the file", "rate: 50", "keys: [a]", "set.yaml:25: workspace/repair-shop: keys is an unknown field"},
+		{"route priority", "deadline: 2s", "deadline: 2s\npriority: -1", `set.yaml:20: route/shop: priority "-1" is not a number of at least 0`},
 		{"share of 1", "share: 0.99", "share: 1", `share "1" is not a share between 0 and 1`},
 	}
 	for _, test := range cases {
@@ -68,6 +90,29 @@
 	}
 }
 
+// TestWorkspaces checks the objects of workspaces and the fields of routes that concern them.
+func TestWorkspaces(t *testing.T) {
+	set, err := parse(strings.Replace(good, "deadline: 2s", "deadline: 2s\npriority: 2\npublic: true", 1))
+	require.NoError(t, err)
+	require.True(t, set.RequiresWorkspace())
+	workspace, found := set.Workspace("repair-shop")
+	require.True(t, found)
+	require.Equal(t, []string{"web", "till"}, workspace.Users())
+	require.InDelta(t, 50, workspace.Rate(), 0)
+	require.InDelta(t, 10, workspace.Burst(), 0)
+	route := set.Routes()[0]
+	require.Equal(t, 2, route.Priority())
+	require.True(t, route.IsPublic())
+	owner, allowed := set.AccessByUser(route, "clerk")
+	require.True(t, allowed)
+	require.Equal(t, "office", owner.Name())
+
+	set, err = parse(good[:strings.Index(good, "---\nkind: workspace")])
+	require.NoError(t, err)
+	require.False(t, set.RequiresWorkspace(), "without workspaces callers need none")
+	require.Equal(t, 1, set.Routes()[0].Priority())
+}
+
 func TestAllFaultsAtOnce(t *testing.T) {
 	text := strings.NewReplacer("maxAge: 2s", "maxAge: 2", "group: mend-db", "group: x", "0.99", "7").Replace(good)
 	_, err := parse(text)
--- a/internal/objectfile/schema_test.go
+++ b/internal/objectfile/schema_test.go
@@ -23,7 +23,7 @@
 		} `json:"oneOf"`
 	}
 	require.NoError(t, json.Unmarshal(text, &schema))
-	require.Len(t, schema.OneOf, 3)
+	require.Len(t, schema.OneOf, 4)
 	listed := regexp.MustCompile(`use one of ([a-zA-Z, ]+)`)
 	for _, kind := range schema.OneOf {
 		var names []string
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -176,9 +176,12 @@
 
 // Publish publishes the object set with the given member marked as leaving. It
 // does not wait for the proxies; see AwaitReady and HasApplied.
-func (site *Site) Publish(leaving string) error {
+func (site *Site) Publish(leaving string) error { return site.PublishWith(leaving, "") }
+
+// PublishWith is Publish with further objects, as YAML documents.
+func (site *Site) PublishWith(leaving, objects string) error {
 	sets := publication.New(kvclient.New([]string{site.platform.Address()}, "site", tally.NoopScope))
-	content := objectfile.Join([]string{"site.yaml"}, [][]byte{[]byte(site.Objects(leaving))})
+	content := objectfile.Join([]string{"site.yaml"}, [][]byte{[]byte(site.Objects(leaving) + objects)})
 	generation, err := sets.Publish(site.ctx, content, site.generation)
 	if err != nil {
 		return err
--- a/internal/yamlobject/yamlobject.go
+++ b/internal/yamlobject/yamlobject.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -154,6 +155,28 @@
 	return parsed
 }
 
+// Integer reads a whole number, which may be negative.
+func (object Object) Integer(field string, fallback int) int {
+	value := object.Text(field, strconv.Itoa(fallback))
+	parsed, err := strconv.Atoi(value)
+	if err != nil {
+		object.ReportFault(object.Line(field), field, fmt.Sprintf("%q is not a whole number", value), "write a whole number")
+		return fallback
+	}
+	return parsed
+}
+
+// Quantity reads a finite decimal number; a missing field is 0.
+func (object Object) Quantity(field string) float64 {
+	value := object.Text(field, "0")
+	parsed, err := strconv.ParseFloat(value, 64)
+	if err != nil || math.IsNaN(parsed) || math.IsInf(parsed, 0) {
+		object.ReportFault(object.Line(field), field, fmt.Sprintf("%q is not a number", value), "write a number such as 20 or 0.5")
+		return 0
+	}
+	return parsed
+}
+
 // Share reads a required number between 0 and 1, both excluded.
 func (object Object) Share(field string) float64 {
 	value := object.Text(field, "")
--- a/workspace.go
+++ b/workspace.go
@@ -98,6 +98,18 @@
 	return workspace, found
 }
 
+// WorkspaceByKey finds the workspace to which a key belongs.
+func (set *ObjectSet) WorkspaceByKey(key KeyDigest) (*Workspace, bool) {
+	workspace, found := set.workspaceByKey[key]
+	return workspace, found
+}
+
+// WorkspaceByUser finds the workspace to which a start-up user belongs.
+func (set *ObjectSet) WorkspaceByUser(user string) (*Workspace, bool) {
+	workspace, found := set.workspaceByUser[user]
+	return workspace, found
+}
+
 // AccessByKey returns the workspace of a caller with a key, nil if it has none, and
 // whether the caller may use the route.
 func (set *ObjectSet) AccessByKey(route *Route, key KeyDigest) (workspace *Workspace, allowed bool) {
