Check and diff of both formats, with whom a change affects

Cause: a configuration of the platform could only be checked by sending it, and the contradictions of a valid one were not reported at all.

internal/configcheck finds contradictions in an object set; internal/configdiff compares two sets and states which routes, workspaces and sessions are affected. Both are pure, and know digests of keys only.

The line of a set that is compared with is shown for object files only: the text of the platform's configuration contains keys. Unknown fields of that configuration are no findings, since the platform may have fields that proxies don't read.

--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -11,6 +11,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/spf13/cobra"
 
 	"github.com/ebonywood/ebonywood"
@@ -24,11 +25,20 @@
 	exitConflict    = 3
 	exitUnavailable = 4
 	exitUnknown     = 5
+	exitFindings    = 6
 )
 
+// findingsError makes the program end with exitFindings.
+type findingsError struct {
+	message string
+}
+
+func (err findingsError) Error() string { return err.message }
+
 const exitCodesHelp = `
 Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict with another publish,
-4 an external service is unavailable, 5 the outcome is unknown.`
+4 an external service is unavailable, 5 the outcome is unknown,
+6 'check --strict' has warnings or 'diff --exit-code' differences.`
 
 // Run executes the command line and returns the exit code. SIGINT and SIGTERM
 // cancel the command's context.
@@ -46,6 +56,9 @@
 
 // exitCode maps the kind of the error's fault to an exit code.
 func exitCode(err error) int {
+	if errors.As(err, new(findingsError)) {
+		return exitFindings
+	}
 	switch ebonywood.FaultOf(err).Kind() {
 	case ebonywood.KindBadInput:
 		return exitBadInput
--- a/internal/command/publish.go
+++ b/internal/command/publish.go
@@ -14,27 +14,6 @@
 	"github.com/ebonywood/ebonywood/internal/publication"
 )
 
-func newCheck() *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILES",
-		Short: "Check an object set and print every fault",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(command *cobra.Command, paths []string) error {
-			content, err := readFiles(paths)
-			if err != nil {
-				return err
-			}
-			set, err := objectfile.Parse(0, content)
-			if err != nil {
-				return err
-			}
-			fmt.Fprintf(command.OutOrStdout(), "%d instances, %d routes, hash %.12s: no faults\n",
-				len(set.Instances()), len(set.Routes()), set.Hash())
-			return nil
-		},
-	}
-}
-
 // readFiles joins the files into one text that still names them in faults.
 func readFiles(paths []string) ([]byte, error) {
 	texts := make([][]byte, 0, len(paths))
--- a/internal/command/status.go
+++ b/internal/command/status.go
@@ -8,7 +8,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/pmezard/go-difflib/difflib"
 	"github.com/spf13/cobra"
 
 	"github.com/ebonywood/ebonywood"
@@ -165,38 +164,3 @@
 		time.Sleep(statusPollInterval)
 	}
 }
-
-func newDiff() *cobra.Command {
-	var platform []string
-	command := &cobra.Command{
-		Use:   "diff FILES",
-		Short: "Compare files with the accepted object set",
-		Args:  cobra.MinimumNArgs(1),
-		RunE: func(command *cobra.Command, paths []string) error {
-			content, err := readFiles(paths)
-			if err != nil {
-				return err
-			}
-			accepted, _, err := openPublication(platform).Head(command.Context())
-			if err != nil {
-				return err
-			}
-			var before []byte
-			name := "nothing accepted"
-			if accepted != nil {
-				before, name = accepted.Content(), fmt.Sprintf("generation %d", accepted.Generation())
-			}
-			text, err := difflib.GetUnifiedDiffString(difflib.UnifiedDiff{
-				A: difflib.SplitLines(string(before)), B: difflib.SplitLines(string(content)),
-				FromFile: name, ToFile: "files", Context: 3,
-			})
-			if err != nil {
-				return err
-			}
-			fmt.Fprint(command.OutOrStdout(), text)
-			return nil
-		},
-	}
-	platformFlag(command, &platform)
-	return command
-}
--- a/internal/objectfile/objectfile.go
+++ b/internal/objectfile/objectfile.go
@@ -21,6 +21,7 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/configcheck"
 	"github.com/ebonywood/ebonywood/internal/workspacecheck"
 	"github.com/ebonywood/ebonywood/internal/yamlobject"
 )
@@ -57,19 +58,32 @@
 // Parse reads and checks a joined text. The error is a fault of KindBadInput whose
 // message has one line for each fault of the set.
 func Parse(generation uint64, content []byte) (*ebonywood.ObjectSet, error) {
+	document := Read(generation, content)
+	if document.Set() != nil {
+		return document.Set(), nil
+	}
+	var faults []string
+	for _, finding := range document.Findings(0) {
+		faults = append(faults, fmt.Sprintf("%s: %s; %s", finding.Path(), finding.Message(), finding.Remedy()))
+	}
+	return nil, ebonywood.NewFault(ebonywood.KindBadInput, strings.Join(faults, "\n"), "fix these and check the set again")
+}
+
+// Read reads and checks a joined text. Each fault is a finding, and the document has no set if
+// there is one.
+func Read(generation uint64, content []byte) *configcheck.Document {
 	parser := newParser(content)
 	parser.readDocuments(content)
 	parser.resolveRoutes()
 	parser.checkWorkspaces()
 	if len(parser.faults) > 0 {
-		return nil, ebonywood.NewFault(ebonywood.KindBadInput, strings.Join(parser.faults, "\n"),
-			"fix these and check the set again")
+		return configcheck.NewDocument(nil, parser.faults, nil)
 	}
 	set := ebonywood.NewObjectSet(generation, Hash(content), content, parser.instances, parser.routes)
 	if len(parser.workspaces) > 0 {
 		set = set.WithWorkspaces(parser.workspaces)
 	}
-	return set, nil
+	return configcheck.NewDocument(set, nil, parser.locations)
 }
 
 // parser holds the objects and faults found so far. Routes are pending until all
@@ -77,7 +91,7 @@
 // of objects to their file and line, addresses maps addresses to subjects of members.
 type parser struct {
 	files         []fileStart
-	faults        []string
+	faults        []configcheck.Finding
 	groups        map[string]*parsedGroup
 	policies      map[string]*ebonywood.ReadPolicy
 	pendingRoutes []pendingRoute
@@ -137,7 +151,7 @@
 
 // reportFault adds a fault at a line of the joined text.
 func (parser *parser) reportFault(line int, subject, message, remedy string) {
-	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s: %s; %s", parser.location(line), subject, message, remedy))
+	parser.faults = append(parser.faults, configcheck.NewFinding(configcheck.SeverityError, parser.location(line), subject+": "+message, remedy))
 }
 
 // yamlLine matches the line number in an error message of the YAML library. Some
@@ -153,7 +167,7 @@
 		line, _ := strconv.Atoi(match[1])
 		message, where = strings.TrimPrefix(message, match[0]), parser.location(firstLine-1+line)
 	}
-	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s; fix the YAML", where, message))
+	parser.faults = append(parser.faults, configcheck.NewFinding(configcheck.SeverityError, where, message, "fix the YAML"))
 }
 
 // readDocuments reads the object of each YAML document of each file, so that every
@@ -233,6 +247,7 @@
 		fields = fields.WithSubject(fields.Subject() + "/" + fields.Text("name", ""))
 		members := parser.readMembers(fields, id)
 		fields.RejectUnknown()
+		parser.locations[configcheck.InstancePath(id)] = parser.location(instance.Line)
 		group.instances = append(group.instances, id)
 		parser.instances = append(parser.instances, ebonywood.NewInstance(id, members))
 	}
