--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -145,17 +145,14 @@
 		return err
 	}
 	caller.user, caller.route = user, route
-	if !caller.isAllowed() {
-		return caller.forbiddenFault()
-	}
 	caller.instance = chooseInstance(route, parameters)
 	caller.state.Attach(token, caller.edge.port.Clock().Now())
 	if err := caller.edge.addSession(caller); err != nil {
 		return err
 	}
 	if !caller.isAllowed() {
-		// The user was removed before the session was registered, so closeRemoved has not
-		// seen it.
+		// Checked after the session is registered, so that closeRemoved sees each session
+		// whose user is removed later.
 		caller.edge.removeSession(caller)
 		return caller.forbiddenFault()
 	}
--- a/internal/edge/directory/configuration.go
+++ b/internal/edge/directory/configuration.go
@@ -71,11 +71,14 @@
 		}
 		mirror.examinePage(seed.page)
 	}
-	if len(differing) == 0 {
-		return
+	if len(differing) > 0 {
+		for _, seed := range mirror.fetchSeedPages(ctx, differing, ebonywood.Cursor{}) {
+			mirror.examinePage(seed.page)
+		}
 	}
-	for _, seed := range mirror.fetchSeedPages(ctx, differing, ebonywood.Cursor{}) {
-		mirror.examinePage(seed.page)
+	if newest := mirror.configuration; newest.set != nil && newest.item.Revision() != kept.item.Revision() {
+		mirror.edge.port.Log().Info("configuration from a seed", "version", newest.set.Generation(), "revision", newest.item.Revision(),
+			"listedRevision", kept.lastRevision)
 	}
 }
 
--- a/internal/edge/sessions/workspace_test.go
+++ b/internal/edge/sessions/workspace_test.go
@@ -263,3 +263,23 @@
 		}
 	}
 }
+
+// TestNextStatementOfWithdrawnKeyIsAborted guards against a statement that reaches a member
+// between the withdrawal of its key and the next sweep of open transactions. No sweep runs here.
+func TestNextStatementOfWithdrawnKeyIsAborted(t *testing.T) {
+	key := ebonywood.NewKeyDigest("k")
+	for _, verb := range []ebonywood.Verb{ebonywood.VerbWrite, ebonywood.VerbRead, ebonywood.VerbCommit} {
+		port := withdrawingPort{workspacePort: workspacePort{servingPort: newServingPort(), dialer: &workspaceDialer{}}, reads: &atomic.Int64{}}
+		port.later = withWorkspaces(port.snapshot)
+		port.snapshot = withWorkspaces(port.snapshot, ebonywood.NewWorkspace("red", []ebonywood.KeyDigest{key}, nil, 0))
+		edge := New(port)
+		port.reads.Store(1000)
+		session, code := edge.Open("shop", key)
+		require.Equal(t, ebonywood.CodeDone, code)
+		require.Equal(t, ebonywood.CodeDone, session.Handle(ebonywood.NewStatement("1", ebonywood.VerbBegin, "BEGIN", "", "")).Code())
+		port.reads.Store(0)
+		reply := session.Handle(ebonywood.NewStatement("2", verb, "READ a", "", ""))
+		require.Equal(t, ebonywood.CodeAborted, reply.Code())
+		require.Empty(t, port.dialer.dials())
+	}
+}
