--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -40,7 +40,7 @@
 		return nil
 	}
 	peers := snapshot.Owners().ForInstance(id)
-	if workspace := session.workspace(); workspace != nil {
+	if workspace := session.workspace; workspace != nil {
 		return edge.rank(edge.homeOrder(snapshot.ObjectSet(), id, peers, workspace))
 	}
 	return edge.rank(rotated(peers, rand.IntN(len(peers))))
@@ -107,20 +107,6 @@
 	return ordered
 }
 
-// workspace returns the caller's workspace, nil if it has none.
-func (session *session) workspace() *ebonywood.Workspace {
-	set := session.edge.port.Snapshot().ObjectSet()
-	if set == nil || !set.RequiresWorkspace() {
-		return nil
-	}
-	route, found := set.Route("", session.database)
-	if !found {
-		return nil
-	}
-	workspace, _ := session.access(set, route)
-	return workspace
-}
-
 // forward runs a single statement at another proxy. The next proxy is tried if one can't
 // be reached or refuses the statement, or if the reply to a read is lost.
 func (session *session) forward(
--- a/internal/objectfile/objectfile.go
+++ b/internal/objectfile/objectfile.go
@@ -21,14 +21,17 @@
 	"go.yaml.in/yaml/v3"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/configcheck"
+	"github.com/ebonywood/ebonywood/internal/workspacecheck"
 	"github.com/ebonywood/ebonywood/internal/yamlobject"
 )
 
 // Kinds of objects, the values of the field kind.
 const (
-	kindGroup  = "databaseGroup"
-	kindPolicy = "readPolicy"
-	kindRoute  = "route"
+	kindGroup     = "databaseGroup"
+	kindPolicy    = "readPolicy"
+	kindRoute     = "route"
+	kindWorkspace = "workspace"
 )
 
 // fileMarker starts the comment line that names the file in a joined text.
@@ -55,14 +58,32 @@
 // Parse reads and checks a joined text. The error is a fault of KindBadInput whose
 // message has one line for each fault of the set.
 func Parse(generation uint64, content []byte) (*ebonywood.ObjectSet, error) {
+	document := Read(generation, content)
+	if document.Set() != nil {
+		return document.Set(), nil
+	}
+	var faults []string
+	for _, finding := range document.Findings(0) {
+		faults = append(faults, fmt.Sprintf("%s: %s; %s", finding.Path(), finding.Message(), finding.Remedy()))
+	}
+	return nil, ebonywood.NewFault(ebonywood.KindBadInput, strings.Join(faults, "\n"), "fix these and check the set again")
+}
+
+// Read reads and checks a joined text. Each fault is a finding, and the document has no set if
+// there is one.
+func Read(generation uint64, content []byte) *configcheck.Document {
 	parser := newParser(content)
 	parser.readDocuments(content)
 	parser.resolveRoutes()
+	parser.checkWorkspaces()
 	if len(parser.faults) > 0 {
-		return nil, ebonywood.NewFault(ebonywood.KindBadInput, strings.Join(parser.faults, "\n"),
-			"fix these and check the set again")
+		return configcheck.NewDocument(nil, parser.faults, nil)
 	}
-	return ebonywood.NewObjectSet(generation, Hash(content), content, parser.instances, parser.routes), nil
+	set := ebonywood.NewObjectSet(generation, Hash(content), content, parser.instances, parser.routes)
+	if len(parser.workspaces) > 0 {
+		set = set.WithWorkspaces(parser.workspaces)
+	}
+	return configcheck.NewDocument(set, nil, parser.locations)
 }
 
 // parser holds the objects and faults found so far. Routes are pending until all
@@ -70,7 +91,7 @@
 // of objects to their file and line, addresses maps addresses to subjects of members.
 type parser struct {
 	files         []fileStart
-	faults        []string
+	faults        []configcheck.Finding
 	groups        map[string]*parsedGroup
 	policies      map[string]*ebonywood.ReadPolicy
 	pendingRoutes []pendingRoute
@@ -78,6 +99,9 @@
 	addresses     map[string]string
 	instances     []ebonywood.Instance
 	routes        []*ebonywood.Route
+	workspaces    []*ebonywood.Workspace
+	// workspaceFields holds the mapping of each workspace.
+	workspaceFields []yamlobject.Object
 }
 
 // fileStart is the line of the joined text at which a file's marker is.
@@ -127,7 +151,7 @@
 
 // reportFault adds a fault at a line of the joined text.
 func (parser *parser) reportFault(line int, subject, message, remedy string) {
-	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s: %s; %s", parser.location(line), subject, message, remedy))
+	parser.faults = append(parser.faults, configcheck.NewFinding(configcheck.SeverityError, parser.location(line), subject+": "+message, remedy))
 }
 
 // yamlLine matches the line number in an error message of the YAML library. Some
@@ -143,7 +167,7 @@
 		line, _ := strconv.Atoi(match[1])
 		message, where = strings.TrimPrefix(message, match[0]), parser.location(firstLine-1+line)
 	}
-	parser.faults = append(parser.faults, fmt.Sprintf("%s: %s; fix the YAML", where, message))
+	parser.faults = append(parser.faults, configcheck.NewFinding(configcheck.SeverityError, where, message, "fix the YAML"))
 }
 
 // readDocuments reads the object of each YAML document of each file, so that every
@@ -187,7 +211,7 @@
 	}
 }
 
-// readObject reads a group or policy, or stores a route for resolveRoutes.
+// readObject reads a group, a policy or a workspace, or stores a route for resolveRoutes.
 func (parser *parser) readObject(node *yaml.Node) {
 	fields := yamlobject.New(node, "object", parser.reportFault)
 	kind := fields.Text("kind", "")
@@ -207,8 +231,10 @@
 		parser.readPolicy(fields, name)
 	case kindRoute:
 		parser.pendingRoutes = append(parser.pendingRoutes, pendingRoute{fields})
+	case kindWorkspace:
+		parser.readWorkspace(fields, name)
 	default:
-		fields.ReportFault(node.Line, "kind", fmt.Sprintf("%q is unknown", kind), "use databaseGroup, readPolicy or route")
+		fields.ReportFault(node.Line, "kind", fmt.Sprintf("%q is unknown", kind), "use databaseGroup, readPolicy, route or workspace")
 	}
 }
 
@@ -221,6 +247,7 @@
 		fields = fields.WithSubject(fields.Subject() + "/" + fields.Text("name", ""))
 		members := parser.readMembers(fields, id)
 		fields.RejectUnknown()
+		parser.locations[configcheck.InstancePath(id)] = parser.location(instance.Line)
 		group.instances = append(group.instances, id)
 		parser.instances = append(parser.instances, ebonywood.NewInstance(id, members))
 	}
@@ -277,6 +304,32 @@
 	fields.RejectUnknown()
 }
 
+// readWorkspace reads a workspace, which checkWorkspaces checks.
+func (parser *parser) readWorkspace(fields yamlobject.Object, name string) {
+	users := fields.Texts("users")
+	priority := fields.Integer("priority", 0)
+	rate, burst := fields.Quantity("rate"), fields.Quantity("burst")
+	fields.RejectUnknown()
+	parser.workspaces = append(parser.workspaces, ebonywood.NewWorkspace(name, nil, users, priority).WithRate(rate, burst))
+	parser.workspaceFields = append(parser.workspaceFields, fields)
+}
+
+// checkWorkspaces reports the faults and warnings of all workspaces. Missing and repeated names
+// are reported by readObject.
+func (parser *parser) checkWorkspaces() {
+	for _, fault := range workspacecheck.Check(parser.workspaces) {
+		if fault.Field() == workspacecheck.FieldName {
+			continue
+		}
+		fields, name := parser.workspaceFields[fault.Index()], fault.Field().String()
+		line := fields.Line(name)
+		if node := fields.Child(name); node != nil && fault.Entry() < len(node.Content) {
+			line = node.Content[fault.Entry()].Line
+		}
+		fields.ReportFault(line, name, fault.Message(), fault.Remedy())
+	}
+}
+
 // resolveRoutes reads the pending routes after all groups and policies were read.
 func (parser *parser) resolveRoutes() {
 	subjects := map[string]string{}
@@ -314,8 +367,10 @@
 		fields.ReportFault(fields.Line("deadline"), "deadline", "is 0 while the policy waits", "set a positive deadline")
 	}
 	objective := parser.readObjective(fields, deadline)
-	parser.routes = append(parser.routes, ebonywood.NewRoute(name, user, database, group.instances, policy, deadline,
-		fields.Number("weight", 1, 1), fields.Flag("paid"), fields.Flag("repeatable"), objective))
+	route := ebonywood.NewRoute(name, user, database, group.instances, policy, deadline,
+		fields.Number("weight", 1, 1), fields.Flag("paid"), fields.Flag("repeatable"), objective)
+	route = route.WithPriority(fields.Number("priority", route.Priority(), 0)).WithPublic(fields.Flag("public"))
+	parser.routes = append(parser.routes, route)
 	fields.RejectUnknown()
 }
 
