--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -96,6 +96,9 @@
 	dutyKnown      bool
 	holdsDuty      bool
 	renewRequested bool
+
+	// allocators are the allocators last posted. Only the mirror's goroutine uses them.
+	allocators []ebonywood.Allocator
 }
 
 // nodeValue is the JSON value of a proxy's node key: its report.
@@ -327,6 +330,7 @@
 	edge.mutex.Lock()
 	edge.mostReports = max(edge.mostReports, len(reports))
 	edge.mutex.Unlock()
+	edge.applyAllocators(ctx, items)
 	_ = edge.port.Post(ctx, ebonywood.NewProxyReportsListed(reports))
 	edge.applyDuty(ctx, items[dutyKey], revision)
 	edge.checkNodeKey(items, revision)
--- /dev/null
+++ b/internal/edge/ratelimit/claim.go
@@ -0,0 +1,311 @@
+package ratelimit
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/tokenbucket"
+)
+
+const (
+	// renewalsPerTTL is the number of renewals in the time to live of an allocator's lease.
+	renewalsPerTTL = 6
+	// clockMargin is how long before its lease may end an allocator stops: for the difference
+	// between the speeds of the clocks of this host and of the store.
+	clockMargin ebonywood.Millis = 200
+	// callTimeout bounds a call to the store, renewTimeout a renewal, so that another one can
+	// succeed before the lease ends. revokeTimeout bounds the call that revokes a lease.
+	callTimeout   = time.Second
+	renewTimeout  = 500 * time.Millisecond
+	revokeTimeout = 300 * time.Millisecond
+)
+
+// keyValue is the JSON value of an allocator's key. Settled is written once all tokens of
+// earlier holders have expired. A key that is released or taken over early belongs to a
+// settled holder, so that at most one predecessor has unspent tokens.
+type keyValue struct {
+	Holder  string `json:"holder"`
+	Address string `json:"address"`
+	Nonce   string `json:"nonce"`
+	Settled bool   `json:"settled,omitempty"`
+}
+
+// claim is the key of an allocator that this process holds or tries to get.
+type claim struct {
+	edge   *Edge
+	number int
+	nonce  string
+	// lease, revision and settled belong to the goroutine that runs the claim. revision is 0
+	// if it is not known.
+	lease    ebonywood.LeaseID
+	revision int64
+	settled  bool
+
+	mutex sync.Mutex
+	// allocator is nil until the key is held and after it was lost. Until certainUntil no
+	// other process can hold it.
+	allocator    *tokenbucket.Allocator
+	certainUntil ebonywood.Millis
+}
+
+// startClaim starts to claim the key of an allocator unless this process holds it or already
+// tries to.
+func (edge *Edge) startClaim(number int) {
+	edge.claimMutex.Lock()
+	defer edge.claimMutex.Unlock()
+	if _, found := edge.claims[number]; found {
+		return
+	}
+	claim := &claim{edge: edge, number: number, nonce: newNonce()}
+	if edge.group.Go(claim.run) {
+		edge.claims[number] = claim
+	}
+}
+
+// Allocate deals tokens if this process holds the key of the allocator that the request names
+// and its lease is certain to hold.
+func (edge *Edge) Allocate(request ebonywood.TokenRequest) ebonywood.TokenReply {
+	edge.claimMutex.Lock()
+	claim, found := edge.claims[request.Allocator()]
+	edge.claimMutex.Unlock()
+	if !found || claim.nonce != request.Nonce() {
+		return ebonywood.NewTokenRefusal("this process is not the allocator")
+	}
+	return claim.allocate(request)
+}
+
+func (claim *claim) allocate(request ebonywood.TokenRequest) ebonywood.TokenReply {
+	set := claim.edge.port.Snapshot().ObjectSet()
+	claim.mutex.Lock()
+	defer claim.mutex.Unlock()
+	now := claim.edge.now()
+	if claim.allocator == nil || now >= claim.certainUntil || set == nil {
+		return ebonywood.NewTokenRefusal("the allocator's lease may have ended")
+	}
+	reply := claim.allocator.Allocate(now, set, request)
+	dealt := 0
+	for _, grant := range reply.Grants() {
+		dealt += grant.Tokens()
+	}
+	claim.edge.metrics.dealt.Inc(int64(dealt))
+	return reply
+}
+
+// run claims the key and renews its lease until ctx ends, the lease is lost or no workspace
+// has a rate any more.
+func (claim *claim) run(ctx context.Context) error {
+	defer claim.end()
+	sentAt := claim.edge.now()
+	if err := claim.acquire(ctx); err != nil {
+		claim.log("not held", err)
+		claim.revoke()
+		return nil
+	}
+	claim.start(sentAt)
+	claim.log("held", nil)
+	ticker := time.NewTicker(claim.edge.ttl.Duration() / renewalsPerTTL)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			claim.release("the process ends")
+			return nil
+		case <-ticker.C:
+		}
+		if !claim.edge.isNeeded() {
+			claim.release("no workspace has a rate")
+			return nil
+		}
+		if err := claim.maintain(ctx); err != nil {
+			claim.log("lost", err)
+			return nil
+		}
+	}
+}
+
+// maintain renews the lease and settles the key. It returns an error if the key is lost.
+func (claim *claim) maintain(ctx context.Context) error {
+	err := claim.renew(ctx)
+	if err == nil {
+		err = claim.settle(ctx)
+	}
+	if err == nil {
+		return nil
+	}
+	switch ebonywood.FaultOf(err).Kind() {
+	case ebonywood.KindStale, ebonywood.KindConflict:
+		return err
+	}
+	return nil
+}
+
+// log writes the outcome of a claim.
+func (claim *claim) log(outcome string, err error) {
+	why := ""
+	if err != nil {
+		why = err.Error()
+	}
+	claim.edge.port.Log().Info("allocator", "number", claim.number, "outcome", outcome, "why", why)
+}
+
+// isNeeded reports whether a workspace has a rate.
+func (edge *Edge) isNeeded() bool {
+	set := edge.port.Snapshot().ObjectSet()
+	if set == nil {
+		return false
+	}
+	for _, workspace := range set.Workspaces() {
+		if workspace.IsLimited() {
+			return true
+		}
+	}
+	return false
+}
+
+// acquire requests a lease and writes the key with it. A key of an earlier run of this process
+// is replaced if its holder was settled; otherwise it has to expire first.
+func (claim *claim) acquire(ctx context.Context) error {
+	directory := claim.edge.port.Directory()
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	lease, err := directory.Grant(callCtx, claim.edge.ttl)
+	if err != nil {
+		return err
+	}
+	claim.lease = lease
+	former, err := claim.formerRun(callCtx)
+	if err != nil {
+		return err
+	}
+	if former > 0 {
+		claim.revision, err = directory.Replace(callCtx, claim.key(), claim.value(), lease, former)
+		return err
+	}
+	claim.revision, err = directory.Create(callCtx, claim.key(), claim.value(), lease)
+	return err
+}
+
+// formerRun returns the revision of the key if the directory lists it as that of a settled
+// holder with the name of this process.
+func (claim *claim) formerRun(ctx context.Context) (int64, error) {
+	settings := claim.edge.port.Settings()
+	listed := false
+	for _, allocator := range claim.edge.port.Snapshot().Allocators() {
+		listed = listed || allocator.Number() == claim.number && allocator.Holder() == settings.Name() && allocator.IsSettled()
+	}
+	if !listed {
+		return 0, nil
+	}
+	items, _, err := claim.edge.port.Directory().List(ctx, claim.key(), func() {})
+	if err != nil {
+		return 0, err
+	}
+	for _, item := range items {
+		var value keyValue
+		if item.Key() == claim.key() && json.Unmarshal(item.Value(), &value) == nil && value.Holder == settings.Name() && value.Settled {
+			return item.Revision(), nil
+		}
+	}
+	return 0, nil
+}
+
+func (claim *claim) key() string { return ebonywood.AllocatorKey(claim.number) }
+
+// value returns the value of the key for the present state of the claim.
+func (claim *claim) value() []byte {
+	settings := claim.edge.port.Settings()
+	data, err := json.Marshal(keyValue{Holder: settings.Name(), Address: settings.PeerAddress(), Nonce: claim.nonce, Settled: claim.settled})
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+// start lets the claim deal tokens. The lease was requested at sentAt. The allocator starts
+// now, when the key is known to be held: its predecessor has stopped before.
+func (claim *claim) start(sentAt ebonywood.Millis) {
+	claim.mutex.Lock()
+	defer claim.mutex.Unlock()
+	edge := claim.edge
+	claim.allocator = tokenbucket.New(edge.bounds, edge.allocators, edge.life, edge.now())
+	claim.certainUntil = sentAt + edge.ttl - clockMargin
+	edge.metrics.held.Update(float64(edge.heldCount()))
+}
+
+// renew extends the lease. If it can't tell whether it has, the allocator deals on until the
+// lease may have ended, and again after a renewal shows that it has not.
+func (claim *claim) renew(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	sentAt := claim.edge.now()
+	if err := claim.edge.port.Directory().Renew(callCtx, claim.lease); err != nil {
+		return err
+	}
+	claim.mutex.Lock()
+	defer claim.mutex.Unlock()
+	claim.certainUntil = sentAt + claim.edge.ttl - clockMargin
+	return nil
+}
+
+// settle writes into the key that all tokens of earlier holders have expired. It is tried
+// once; if its outcome is unknown, the key counts as not settled.
+func (claim *claim) settle(ctx context.Context) error {
+	if claim.settled || claim.revision == 0 || claim.edge.now() < claim.allocator.StartedAt()+claim.edge.life {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	claim.settled = true
+	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(), claim.lease, claim.revision)
+	claim.settled, claim.revision = err == nil, 0
+	return err
+}
+
+// release stops the allocator and revokes the lease, so that others don't wait for its end.
+// The lease of a holder that is not settled has to expire instead.
+func (claim *claim) release(why string) {
+	claim.stop()
+	claim.edge.port.Log().Info("allocator", "number", claim.number, "outcome", "released", "why", why)
+	if claim.settled {
+		claim.revoke()
+	}
+}
+
+// stop makes the claim deal no more tokens.
+func (claim *claim) stop() {
+	claim.mutex.Lock()
+	defer claim.mutex.Unlock()
+	claim.allocator = nil
+}
+
+// end removes the claim.
+func (claim *claim) end() {
+	claim.stop()
+	edge := claim.edge
+	edge.claimMutex.Lock()
+	delete(edge.claims, claim.number)
+	held := len(edge.claims)
+	edge.claimMutex.Unlock()
+	edge.metrics.held.Update(float64(held))
+}
+
+func (edge *Edge) heldCount() int {
+	edge.claimMutex.Lock()
+	defer edge.claimMutex.Unlock()
+	return len(edge.claims)
+}
+
+// revoke ends the lease if there is one.
+func (claim *claim) revoke() {
+	if claim.lease == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	if err := claim.edge.port.Directory().Revoke(ctx, claim.lease); err != nil {
+		claim.edge.port.Log().Info("lease not given back", "why", err.Error())
+	}
+}
--- /dev/null
+++ b/internal/edge/ratelimit/limiter.go
@@ -0,0 +1,155 @@
+package ratelimit
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/tokenstock"
+)
+
+// maxWait bounds how long an operation waits for a token. Callers of a workspace over its
+// limit are refused at once; this wait covers a request to one allocator that does not answer
+// and to the next one.
+const maxWait = 150 * time.Millisecond
+
+// stock holds the tokens of one workspace and the operations that wait for one. The edge's
+// mutex protects it.
+type stock struct {
+	name   string
+	tokens *tokenstock.Stock
+	// waiters have one entry for each operation that waits, in order of arrival.
+	waiters []chan bool
+	// asking is set while a request for tokens of the workspace is queued or in flight.
+	asking bool
+	// order has the allocators in the order in which this proxy asks them, for the table
+	// listed.
+	listed, order []ebonywood.Allocator
+}
+
+// Take spends a token for an operation of the workspace, and waits for one if the proxy holds
+// none and an allocator may be asked.
+func (edge *Edge) Take(ctx context.Context, workspace *ebonywood.Workspace, until time.Time) bool {
+	if !workspace.IsLimited() {
+		return true
+	}
+	taken := edge.take(ctx, workspace.Name(), until)
+	if taken {
+		edge.metrics.taken.Inc(1)
+	} else {
+		edge.metrics.countLimited(workspace.Name())
+	}
+	return taken
+}
+
+func (edge *Edge) take(ctx context.Context, workspace string, until time.Time) bool {
+	now := edge.now()
+	edge.mutex.Lock()
+	stock := edge.stock(workspace)
+	stock.tokens.CountDemand(now)
+	if stock.tokens.Take(now) {
+		if stock.tokens.IsLow(now) {
+			edge.request(now, stock)
+		}
+		edge.mutex.Unlock()
+		return true
+	}
+	edge.request(now, stock)
+	if !stock.asking {
+		edge.mutex.Unlock()
+		return false
+	}
+	answer := make(chan bool, 1)
+	stock.waiters = append(stock.waiters, answer)
+	edge.mutex.Unlock()
+	return edge.await(ctx, stock, answer, min(maxWait, time.Until(until)))
+}
+
+// await waits for the answer to an operation that waits in the stock.
+func (edge *Edge) await(ctx context.Context, stock *stock, answer chan bool, wait time.Duration) bool {
+	timer := time.NewTimer(max(0, wait))
+	defer timer.Stop()
+	select {
+	case taken := <-answer:
+		return taken
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	if index := slices.Index(stock.waiters, answer); index >= 0 {
+		stock.waiters = slices.Delete(stock.waiters, index, index+1)
+		return false
+	}
+	return <-answer
+}
+
+// Return gives back the token of an operation that has reached no member.
+func (edge *Edge) Return(workspace *ebonywood.Workspace) {
+	if !workspace.IsLimited() {
+		return
+	}
+	edge.metrics.returned.Inc(1)
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	edge.stock(workspace.Name()).tokens.Return(edge.now())
+}
+
+// stock returns the stock of a workspace and creates it if needed. The mutex is held.
+func (edge *Edge) stock(workspace string) *stock {
+	found, exists := edge.stocks[workspace]
+	if !exists {
+		found = &stock{name: workspace, tokens: tokenstock.New()}
+		edge.stocks[workspace] = found
+	}
+	return found
+}
+
+// serve spends tokens for the operations that wait, and refuses the rest unless another
+// allocator can be asked. The mutex is held.
+func (edge *Edge) serve(now ebonywood.Millis, stock *stock) {
+	for len(stock.waiters) > 0 && stock.tokens.Take(now) {
+		stock.answerFirst(true)
+	}
+	if len(stock.waiters) > 0 {
+		edge.request(now, stock)
+	}
+	if !stock.asking {
+		for len(stock.waiters) > 0 {
+			stock.answerFirst(false)
+		}
+	}
+}
+
+func (stock *stock) answerFirst(taken bool) {
+	stock.waiters[0] <- taken
+	stock.waiters = stock.waiters[1:]
+}
+
+// candidates returns the allocators in the order in which this proxy asks them for tokens of
+// the workspace, without those that do not answer. The order differs among proxies and
+// workspaces, so that the allocators are asked evenly. The mutex is held.
+func (edge *Edge) candidates(now ebonywood.Millis, stock *stock) []ebonywood.Allocator {
+	listed := edge.port.Snapshot().Allocators()
+	if !slices.Equal(listed, stock.listed) {
+		stock.listed = listed
+		prefix := edge.port.Settings().Name() + "/" + stock.name + "/"
+		stock.order = slices.Clone(listed)
+		slices.SortFunc(stock.order, func(left, right ebonywood.Allocator) int {
+			return cmp.Compare(xxhash.Sum64String(prefix+strconv.Itoa(left.Number())), xxhash.Sum64String(prefix+strconv.Itoa(right.Number())))
+		})
+	}
+	usable := true
+	for _, allocator := range stock.order {
+		usable = usable && !edge.isDown(now, allocator)
+	}
+	if usable {
+		return stock.order
+	}
+	return slices.DeleteFunc(slices.Clone(stock.order), func(allocator ebonywood.Allocator) bool { return edge.isDown(now, allocator) })
+}
--- /dev/null
+++ b/internal/edge/ratelimit/request.go
@@ -0,0 +1,258 @@
+package ratelimit
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	// requestTimeout bounds a request to an allocator.
+	requestTimeout = 100 * time.Millisecond
+	// silencePeriod is how long an allocator that did not answer is not asked, refusalPeriod
+	// the same for a process that answered that it is not the allocator.
+	silencePeriod ebonywood.Millis = 1000
+	refusalPeriod ebonywood.Millis = 100
+	// reportDelay is how long after tokens of a workspace near its limit were dealt the proxy
+	// reports at the latest that they are spent, so that others can have them.
+	reportDelay ebonywood.Millis = 200
+)
+
+// link is the state of the requests to the allocator with one number. The edge's mutex
+// protects it.
+type link struct {
+	number int
+	// busy is set while a goroutine sends the link's requests.
+	busy bool
+	// pending are the workspaces to ask for, reports those whose spent tokens have to be
+	// reported.
+	pending []*stock
+	reports map[*stock]struct{}
+	// sequence is the number of the last request.
+	sequence uint64
+	// Until downUntil the allocator with the nonce down is not asked.
+	down      string
+	downUntil ebonywood.Millis
+}
+
+// link returns the link to an allocator and creates it if needed. The mutex is held.
+func (edge *Edge) link(number int) *link {
+	found, exists := edge.links[number]
+	if !exists {
+		found = &link{number: number, reports: map[*stock]struct{}{}}
+		edge.links[number] = found
+	}
+	return found
+}
+
+// isDown reports whether an allocator did not answer shortly before. The mutex is held.
+func (edge *Edge) isDown(now ebonywood.Millis, allocator ebonywood.Allocator) bool {
+	link, found := edge.links[allocator.Number()]
+	return found && link.down == allocator.Nonce() && now < link.downUntil
+}
+
+// request queues a request for tokens of a workspace to the first allocator that may be asked.
+// It does nothing if there is none, or if a request is already under way. The mutex is held.
+func (edge *Edge) request(now ebonywood.Millis, stock *stock) {
+	if stock.asking {
+		return
+	}
+	allocator, found := stock.tokens.Next(now, edge.candidates(now, stock))
+	if !found {
+		return
+	}
+	link := edge.link(allocator.Number())
+	if !edge.startLink(link) {
+		return
+	}
+	stock.asking = true
+	link.pending = append(link.pending, stock)
+}
+
+// startLink starts the goroutine that sends the link's requests unless it runs, and reports
+// whether one runs. The mutex is held.
+func (edge *Edge) startLink(link *link) bool {
+	if link.busy {
+		return true
+	}
+	link.busy = edge.group.Context().Err() == nil && edge.group.Go(func(ctx context.Context) error {
+		for edge.sendNext(ctx, link) {
+		}
+		return nil
+	})
+	return link.busy
+}
+
+// exchange is one request with what is needed to apply its reply.
+type exchange struct {
+	allocator ebonywood.Allocator
+	request   ebonywood.TokenRequest
+	// stocks has the stock of each need of the request, asked those among them that are
+	// asking.
+	stocks, asked []*stock
+	sentAt        ebonywood.Millis
+}
+
+// sendNext sends one request with all that is queued for the link's allocator and applies the
+// reply. It returns false, and the link is idle, if nothing is queued.
+func (edge *Edge) sendNext(ctx context.Context, link *link) bool {
+	next, found := edge.beginExchange(link)
+	if !found {
+		return false
+	}
+	if len(next.stocks) == 0 {
+		return true
+	}
+	reply, err := edge.ask(ctx, next)
+	switch {
+	case err != nil:
+		edge.metrics.failed.Inc(1)
+		edge.applyFailure(link, next, silencePeriod)
+	case reply.Refusal() != "":
+		edge.metrics.refused.Inc(1)
+		edge.applyFailure(link, next, refusalPeriod)
+	default:
+		edge.metrics.answered.Inc(1)
+		edge.applyReply(link, next, reply)
+	}
+	return true
+}
+
+// ask sends a request to the allocator, or serves it here if this process is the allocator.
+func (edge *Edge) ask(ctx context.Context, next exchange) (ebonywood.TokenReply, error) {
+	if next.allocator.Holder() == edge.port.Settings().Name() {
+		return edge.Allocate(next.request), nil
+	}
+	if edge.port.Relay() == nil {
+		return ebonywood.NewTokenRefusal("other proxies can't be reached from here"), nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	return edge.port.Relay().RequestTokens(callCtx, next.allocator.Address(), next.request)
+}
+
+// beginExchange builds the request for all that is queued, without any stock if there is no
+// allocator to ask. It returns false if nothing is queued.
+func (edge *Edge) beginExchange(link *link) (next exchange, found bool) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	now := edge.now()
+	next.sentAt, next.asked = now, link.pending
+	link.pending = nil
+	allocators := edge.port.Snapshot().Allocators()
+	index := slices.IndexFunc(allocators, func(allocator ebonywood.Allocator) bool { return allocator.Number() == link.number })
+	if index < 0 {
+		// The allocator has lost its key since the request was queued.
+		clear(link.reports)
+		edge.endAsking(now, next)
+		link.busy = len(link.pending) > 0
+		return exchange{}, link.busy
+	}
+	next.allocator = allocators[index]
+	var needs []ebonywood.TokenNeed
+	for _, stock := range next.asked {
+		wanted := stock.tokens.Wanted(now, len(stock.waiters))
+		needs = append(needs, ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), wanted))
+	}
+	next.stocks = append(next.stocks, next.asked...)
+	for stock := range link.reports {
+		due, later := stock.tokens.IsReportDue(now, next.allocator)
+		if due {
+			needs = append(needs, ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), 0))
+			next.stocks = append(next.stocks, stock)
+		}
+		if !later {
+			delete(link.reports, stock)
+		}
+	}
+	if len(needs) == 0 {
+		link.busy = false
+		return exchange{}, false
+	}
+	link.sequence++
+	next.request = ebonywood.NewTokenRequest(edge.port.Settings().Name(), link.number, next.allocator.Nonce(), needs).
+		WithSequence(edge.run, link.sequence)
+	return next, true
+}
+
+// applyReply adds the tokens of a reply to the stocks and serves the operations that wait.
+func (edge *Edge) applyReply(link *link, next exchange, reply ebonywood.TokenReply) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	now := edge.now()
+	grants := reply.Grants()
+	for index, stock := range next.stocks {
+		if index >= len(grants) || grants[index].Workspace() != stock.name {
+			break
+		}
+		grant := grants[index]
+		stock.tokens.Add(now, next.sentAt, edge.life, reportDelay, next.allocator, grant.Tokens(), grant.RetryAfter())
+		if grant.Tokens() > 0 && grant.RetryAfter() > 0 {
+			link.reports[stock] = struct{}{}
+			edge.startReporting()
+		}
+	}
+	edge.endAsking(now, next)
+}
+
+// applyFailure makes an allocator that gave no tokens not be asked for a time, and asks the
+// next one for what is still needed.
+func (edge *Edge) applyFailure(link *link, next exchange, period ebonywood.Millis) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	now := edge.now()
+	link.down, link.downUntil = next.allocator.Nonce(), now+period
+	for _, stock := range next.asked {
+		stock.tokens.Block(now+period, next.allocator)
+	}
+	edge.endAsking(now, next)
+}
+
+// endAsking lets the workspaces of a request be asked for again and serves the operations that
+// wait. The mutex is held.
+func (edge *Edge) endAsking(now ebonywood.Millis, next exchange) {
+	for _, stock := range next.asked {
+		stock.asking = false
+	}
+	for _, stock := range next.asked {
+		edge.serve(now, stock)
+	}
+}
+
+// startReporting starts the goroutine that sends due reports, unless it runs. The mutex is
+// held.
+func (edge *Edge) startReporting() {
+	if !edge.reporting {
+		edge.reporting = edge.group.Go(edge.sendReports)
+	}
+}
+
+// sendReports starts the links that have to report spent tokens until no report is left.
+func (edge *Edge) sendReports(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(reportDelay.Duration()):
+		}
+		if !edge.startDueLinks() {
+			return nil
+		}
+	}
+}
+
+// startDueLinks starts the links with reports, and reports whether there are any.
+func (edge *Edge) startDueLinks() (found bool) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	for _, link := range edge.links {
+		if len(link.reports) > 0 {
+			found = true
+			edge.startLink(link)
+		}
+	}
+	edge.reporting = found
+	return found
+}
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -92,6 +92,8 @@
 	Allocator int           `cbor:"3,keyasint"`
 	Nonce     string        `cbor:"4,keyasint"`
 	Needs     []needMessage `cbor:"5,keyasint"`
+	Run       string        `cbor:"6,keyasint"`
+	Sequence  uint64        `cbor:"7,keyasint"`
 }
 
 // needMessage is what a proxy holds and needs of the tokens of one workspace.
@@ -116,7 +118,10 @@
 }
 
 func encodeTokenRequest(request ebonywood.TokenRequest) *tokensMessage {
-	message := &tokensMessage{Version: protocolVersion, Proxy: request.Proxy(), Allocator: request.Allocator(), Nonce: request.Nonce()}
+	message := &tokensMessage{
+		Version: protocolVersion, Proxy: request.Proxy(), Allocator: request.Allocator(), Nonce: request.Nonce(),
+		Run: request.Run(), Sequence: request.Sequence(),
+	}
 	for _, need := range request.Needs() {
 		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted()})
 	}
@@ -128,7 +133,7 @@
 	for _, need := range message.Needs {
 		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted))
 	}
-	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs)
+	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs).WithSequence(message.Run, message.Sequence)
 }
 
 func encodeTokenReply(reply ebonywood.TokenReply) *grantsMessage {
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -271,6 +271,7 @@
 		peer.recordRefusal(result.Refusal())
 		conn.Release(false)
 	}
+	session.returnToken(attempt)
 	return result, err
 }
 
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -100,6 +100,8 @@
 	// mayHaveRun reports that an earlier try of a read was sent, and that it failed or its
 	// reply was lost.
 	mayHaveRun bool
+	// hasToken reports that the attempt has taken the token of its operation.
+	hasToken bool
 }
 
 // remaining returns the time until the statement's deadline, or 0 if nobody waits for
@@ -308,6 +310,8 @@
 	var reply ebonywood.Reply
 	servers := session.servers(view.ID())
 	switch {
+	case !session.takeToken(attempt):
+		reply = failure(ebonywood.CodeBusy, rateLimitMessage)
 	case len(servers) > 0:
 		reply = session.forward(servers, statement, attempt)
 	case attempt.writes:
@@ -318,6 +322,7 @@
 		reply = session.read(resolved, view, attempt)
 	}
 	reply = attempt.settle(reply)
+	session.settleToken(attempt, reply)
 	session.edge.account(statement, attempt, reply)
 	return reply.WithState(ebonywood.TxIdle)
 }
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -28,6 +28,8 @@
 	peerConn ebonywood.PeerConn
 	peer     *peer
 	wrote    bool
+	// admitted reports that the transaction has taken its token, or needs none.
+	admitted bool
 	// workUntil is the time from which the transaction's member must get no new work, until
 	// the first statement is sent to it; 0 afterwards, and without a limit.
 	workUntil ebonywood.Millis
@@ -120,15 +122,22 @@
 		return ebonywood.NewFailure(ebonywood.CodeNoStatement, "no prepared statement has this name",
 			ebonywood.TxFailed, ebonywood.Position{})
 	}
+	if refusal, admitted := session.admitTransaction(attempt); !admitted {
+		session.markFailed()
+		session.edge.account(statement, attempt, refusal)
+		return refusal
+	}
 	if servers := session.serversOfTransaction(); tx.peerConn != nil || len(servers) > 0 {
 		tx.wrote = tx.wrote || attempt.writes
 		reply := session.forwardStep(servers, statement, attempt)
+		session.settleToken(attempt, reply)
 		session.edge.account(statement, attempt, reply)
 		return reply
 	}
 	if tx.lease == nil {
 		if reply := session.openOnMember(attempt); reply.Code() != ebonywood.CodeDone {
 			session.markFailed()
+			session.settleToken(attempt, reply)
 			session.edge.account(statement, attempt, reply)
 			return reply.WithState(ebonywood.TxFailed)
 		}
@@ -227,14 +236,21 @@
 func (session *session) commit(statement ebonywood.Statement) ebonywood.Reply {
 	tx := session.tx
 	attempt := session.newAttempt(tx.route)
+	if refusal, admitted := session.admitTransaction(attempt); !admitted {
+		session.clearTransaction()
+		session.edge.account(statement, attempt, refusal)
+		return refusal.WithState(ebonywood.TxIdle)
+	}
 	if servers := session.serversOfTransaction(); tx.peerConn != nil || len(servers) > 0 {
 		reply := session.forwardCommit(servers, statement, attempt)
+		session.settleToken(attempt, reply)
 		session.edge.account(statement, attempt, reply)
 		return reply
 	}
 	if tx.lease == nil {
 		if reply := session.openOnMember(attempt); reply.Code() != ebonywood.CodeDone {
 			session.clearTransaction()
+			session.settleToken(attempt, reply)
 			session.edge.account(statement, attempt, reply)
 			return reply.WithState(ebonywood.TxIdle)
 		}
--- /dev/null
+++ b/internal/tokenstock/model_test.go
@@ -0,0 +1,424 @@
+package tokenstock_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/tokenbucket"
+	"github.com/ebonywood/ebonywood/internal/tokenstock"
+)
+
+// This file plays random interleavings of allocators that gain and lose their keys, proxies
+// that ask, spend, return and restart, and messages that are late or lost. It guards against
+// any sequence in which the operations of a window exceed what the design allows.
+
+const (
+	modelAllocators                  = 2
+	modelProxies                     = 3
+	modelLife       ebonywood.Millis = 4000
+	modelTTL        ebonywood.Millis = 6000
+	modelMargin     ebonywood.Millis = 200
+	modelWindow     ebonywood.Millis = 5000
+	modelRate                        = 4
+	modelBurst                       = 12
+	modelOverage                     = 0.1
+	modelSlack                       = 10
+)
+
+// mutation removes one mechanism from the model.
+type mutation string
+
+const (
+	unchanged            mutation = ""
+	noLeaseCheck         mutation = "an allocator deals after its lease may have ended"
+	noPredecessor        mutation = "a new allocator starts with a full bucket and counts no predecessor"
+	noSettling           mutation = "a key is taken over before its holder has settled"
+	noSequence           mutation = "a request that was overtaken is answered"
+	lateReplies          mutation = "the reply to an abandoned request is used"
+	noTokenLife          mutation = "a proxy's tokens do not expire"
+	lifeFromReply        mutation = "a token's life begins when the reply arrives"
+	returnsReportedSpent mutation = "a token that was reported as spent is returned"
+	noHeldReport         mutation = "requests do not say what the proxy holds"
+)
+
+var mutations = []mutation{
+	noLeaseCheck, noPredecessor, noSettling, noSequence, lateReplies, noTokenLife, lifeFromReply, returnsReportedSpent, noHeldReport,
+}
+
+// model is a fleet with one workspace.
+type model struct {
+	choose   func(int) int
+	mutation mutation
+	now      ebonywood.Millis
+	set      *ebonywood.ObjectSet
+	bounds   tokenbucket.Bounds
+	keys     [modelAllocators]modelKey
+	// holders are all processes that hold a key or believe it.
+	holders []*holder
+	proxies []*proxy
+	claims  int
+	runs    int
+	spends  []ebonywood.Millis
+	trace   []string
+}
+
+// modelKey is a key in the store.
+type modelKey struct {
+	holder    *holder
+	expiresAt ebonywood.Millis
+}
+
+// holder is a process that got the key of an allocator.
+type holder struct {
+	listed       ebonywood.Allocator
+	allocator    *tokenbucket.Allocator
+	startedAt    ebonywood.Millis
+	certainUntil ebonywood.Millis
+	// skew is added to the model's time on the clock of the process.
+	skew ebonywood.Millis
+}
+
+// proxy is a process that spends tokens.
+type proxy struct {
+	name     string
+	run      string
+	stock    *tokenstock.Stock
+	skew     ebonywood.Millis
+	sequence uint64
+	messages []*message
+	// spends are the indexes of the model's spends that may still be returned.
+	spends []int
+}
+
+// message is a request and, once it was answered, its reply.
+type message struct {
+	to        *holder
+	request   ebonywood.TokenRequest
+	sentAt    ebonywood.Millis
+	tokens    int
+	answered  bool
+	abandoned bool
+}
+
+func newModel(choose func(int) int, mutation mutation) *model {
+	workspace := ebonywood.NewWorkspace("w", nil, nil, 0).WithRate(modelRate, modelBurst)
+	model := &model{
+		choose: choose, mutation: mutation, now: 100_000,
+		set:    ebonywood.NewObjectSet(1, "", nil, nil, nil).WithWorkspaces([]*ebonywood.Workspace{workspace}),
+		bounds: tokenbucket.NewBounds(modelWindow, modelOverage, modelSlack),
+	}
+	for i := range modelProxies {
+		model.proxies = append(model.proxies, model.newProxy(fmt.Sprintf("p%d", i), ebonywood.Millis(i*7919)))
+	}
+	return model
+}
+
+func (model *model) newProxy(name string, skew ebonywood.Millis) *proxy {
+	model.runs++
+	return &proxy{name: name, run: fmt.Sprint(model.runs), stock: tokenstock.New(), skew: skew}
+}
+
+func (model *model) log(format string, args ...any) {
+	model.trace = append(model.trace, fmt.Sprintf("%6d ", model.now)+fmt.Sprintf(format, args...))
+}
+
+// step performs one random action.
+func (model *model) step() {
+	proxy := model.proxies[model.choose(modelProxies)]
+	number := model.choose(modelAllocators)
+	switch action := model.choose(16); action {
+	case 0, 1:
+		model.now += ebonywood.Millis(1 + model.choose(400))
+	case 2:
+		model.now += ebonywood.Millis(1 + model.choose(4500))
+	case 3:
+		model.renew(number)
+	case 4:
+		model.takeOver(number)
+	case 5:
+		model.release(number)
+	case 6:
+		model.restart(number)
+	case 7, 8:
+		model.ask(proxy, number)
+	case 9, 10:
+		model.answer(proxy)
+	case 11, 12:
+		model.receive(proxy)
+	case 13:
+		model.abandon(proxy)
+	case 14:
+		model.spend(proxy, 1+model.choose(20))
+	case 15:
+		if model.choose(4) == 0 {
+			model.restartProxy(proxy)
+		} else {
+			model.giveBack(proxy)
+		}
+	}
+}
+
+// renew renews the lease of a key that still holds. A holder that is cut off does not.
+func (model *model) renew(number int) {
+	key := &model.keys[number]
+	if key.holder != nil && model.now < key.expiresAt {
+		key.expiresAt = model.now + modelTTL
+		key.holder.certainUntil = model.now + modelTTL - modelMargin
+		model.log("renew %d", number)
+	}
+}
+
+// takeOver gives a key that has no holder any more to a new process. The former holder may
+// still run.
+func (model *model) takeOver(number int) {
+	key := &model.keys[number]
+	if key.holder != nil && model.now < key.expiresAt {
+		return
+	}
+	model.claims++
+	skew := ebonywood.Millis(model.choose(3) * 31337)
+	startedAt := model.now
+	if model.mutation == noPredecessor {
+		startedAt -= modelLife
+	}
+	next := &holder{
+		listed:    ebonywood.NewAllocator(number, "h", "", fmt.Sprint(model.claims)),
+		allocator: tokenbucket.New(model.bounds, modelAllocators, modelLife, startedAt+skew), startedAt: model.now,
+		certainUntil: model.now + modelTTL - modelMargin, skew: skew,
+	}
+	model.holders = append(model.holders, next)
+	*key = modelKey{holder: next, expiresAt: model.now + modelTTL}
+	model.log("take over %d", number)
+}
+
+func (model *model) isSettled(holder *holder) bool {
+	return model.mutation == noSettling || model.now >= holder.startedAt+modelLife
+}
+
+// release ends a holder that stops. Only a settled one gives its key back.
+func (model *model) release(number int) {
+	key := &model.keys[number]
+	if key.holder == nil {
+		return
+	}
+	key.holder.certainUntil = min(key.holder.certainUntil, model.now)
+	if model.isSettled(key.holder) {
+		key.expiresAt = min(key.expiresAt, model.now)
+	}
+	model.log("release %d", number)
+}
+
+// restart kills a holder; its next run replaces the key at once if the holder was settled.
+func (model *model) restart(number int) {
+	key := &model.keys[number]
+	if key.holder == nil || !model.isSettled(key.holder) {
+		return
+	}
+	key.holder.certainUntil = min(key.holder.certainUntil, model.now)
+	key.expiresAt = model.now
+	model.takeOver(number)
+}
+
+// ask sends a request to the present or to an earlier holder of a key.
+func (model *model) ask(proxy *proxy, number int) {
+	var known []*holder
+	for _, holder := range model.holders {
+		if holder.listed.Number() == number {
+			known = append(known, holder)
+		}
+	}
+	if len(known) == 0 {
+		return
+	}
+	to := known[len(known)-1-model.choose(min(2, len(known)))]
+	for _, earlier := range proxy.messages {
+		if earlier.to.listed.Number() == number && !earlier.abandoned {
+			return
+		}
+	}
+	now := model.now + proxy.skew
+	held := proxy.stock.BeginRequest(now, to.listed)
+	if model.mutation == noHeldReport {
+		held = 0
+	}
+	proxy.sequence++
+	need := ebonywood.NewTokenNeed("w", held, 1+model.choose(20))
+	request := ebonywood.NewTokenRequest(proxy.name, number, to.listed.Nonce(), []ebonywood.TokenNeed{need})
+	proxy.messages = append(proxy.messages, &message{to: to, request: request.WithSequence(proxy.run, proxy.sequence), sentAt: now})
+	model.log("%s asks %d, holds %d, wants %d", proxy.name, number, held, need.Wanted())
+}
+
+// answer delivers one of the proxy's requests, not necessarily the first.
+func (model *model) answer(proxy *proxy) {
+	index := slices.IndexFunc(proxy.messages, func(message *message) bool { return !message.answered })
+	if index < 0 {
+		return
+	}
+	message := proxy.messages[index+model.choose(len(proxy.messages)-index)]
+	if message.answered {
+		return
+	}
+	message.answered = true
+	if model.now >= message.to.certainUntil && model.mutation != noLeaseCheck {
+		return
+	}
+	request := message.request
+	if model.mutation == noSequence {
+		model.runs++
+		request = request.WithSequence(request.Run(), uint64(1_000_000+model.runs))
+	}
+	reply := message.to.allocator.Allocate(model.now+message.to.skew, model.set, request)
+	for _, grant := range reply.Grants() {
+		message.tokens = grant.Tokens()
+	}
+	model.log("%d answers %s: %d %s", message.to.listed.Number(), proxy.name, message.tokens, reply.Refusal())
+}
+
+// receive delivers the reply to one of the proxy's requests.
+func (model *model) receive(proxy *proxy) {
+	for index, message := range proxy.messages {
+		if !message.answered || message.abandoned && model.mutation != lateReplies {
+			continue
+		}
+		now, sentAt, life := model.now+proxy.skew, message.sentAt, modelLife
+		if model.mutation == lifeFromReply {
+			sentAt = now
+		}
+		if model.mutation == noTokenLife {
+			life = 1000 * modelLife
+		}
+		proxy.stock.Add(now, sentAt, life, 0, message.to.listed, message.tokens, 0)
+		proxy.messages = slices.Delete(proxy.messages, index, index+1)
+		model.log("%s receives %d", proxy.name, message.tokens)
+		return
+	}
+}
+
+// abandon makes the proxy no longer wait for its oldest request, which may be delivered later.
+func (model *model) abandon(proxy *proxy) {
+	for _, message := range proxy.messages {
+		if !message.abandoned {
+			message.abandoned = true
+			model.log("%s abandons a request", proxy.name)
+			return
+		}
+	}
+}
+
+// spend runs up to count operations, as long as the proxy has tokens.
+func (model *model) spend(proxy *proxy, count int) {
+	spent := 0
+	for spent < count && proxy.stock.Take(model.now+proxy.skew) {
+		proxy.spends = append(proxy.spends, len(model.spends))
+		model.spends = append(model.spends, model.now)
+		spent++
+	}
+	model.log("%s spends %d", proxy.name, spent)
+}
+
+// giveBack returns the token of an operation of the last second, which has reached no member.
+func (model *model) giveBack(proxy *proxy) {
+	if len(proxy.spends) == 0 {
+		return
+	}
+	index := proxy.spends[len(proxy.spends)-1]
+	proxy.spends = proxy.spends[:len(proxy.spends)-1]
+	if model.now-model.spends[index] > 1000 {
+		return
+	}
+	model.spends[index] = -modelWindow
+	now := model.now + proxy.skew
+	before := proxy.stock.Held(now)
+	proxy.stock.Return(now)
+	if model.mutation == returnsReportedSpent && proxy.stock.Held(now) == before {
+		proxy.stock.Add(now, now, modelLife, 0, ebonywood.NewAllocator(0, "", "", "returned"), 1, 0)
+	}
+	model.log("%s returns one", proxy.name)
+}
+
+// restartProxy replaces a proxy by its next run, which holds nothing. Its requests are late.
+func (model *model) restartProxy(old *proxy) {
+	index := slices.Index(model.proxies, old)
+	model.proxies[index] = model.newProxy(old.name, old.skew+1)
+	for _, message := range old.messages {
+		message.abandoned = true
+	}
+	model.proxies[index].messages = slices.DeleteFunc(old.messages, func(message *message) bool { return message.answered })
+	model.log("%s restarts", old.name)
+}
+
+// violation returns a description of a window with too many operations; empty if there is
+// none. The bound is that on spent tokens, without the share for the way to the member.
+func (model *model) violation() string {
+	seconds := float64(modelWindow) / 1000
+	most := int(modelRate*seconds + modelBurst + 0.8*((modelRate*seconds+modelBurst)*modelOverage+modelSlack))
+	var spends []ebonywood.Millis
+	for _, at := range model.spends {
+		if at >= 0 {
+			spends = append(spends, at)
+		}
+	}
+	for first := range spends {
+		if last := first + most; last < len(spends) && spends[last]-spends[first] < modelWindow {
+			return fmt.Sprintf("%d operations from %d to %d, at most %d:\n%s", most+1, spends[first], spends[last], most, strings.Join(model.trace, "\n"))
+		}
+	}
+	return ""
+}
+
+const modelSteps = 400
+
+// TestNoWindowExceedsTheBound searches for a violation with rapid, which prints the shortest
+// sequence that it finds.
+func TestNoWindowExceedsTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		model := newModel(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }, unchanged)
+		for range rapid.IntRange(1, modelSteps).Draw(t, "steps") {
+			model.step()
+		}
+		require.Empty(t, model.violation())
+	})
+}
+
+// play returns the violation of a random walk with a seed.
+func play(seed uint64, mutation mutation) (violation string, spends int) {
+	random := rand.New(rand.NewPCG(seed, 0))
+	model := newModel(random.IntN, mutation)
+	for range modelSteps {
+		model.step()
+	}
+	return model.violation(), len(model.spends)
+}
+
+// TestEachMechanismIsNeeded removes one mechanism at a time. The walks have to find a window
+// that exceeds the bound, and must find none with all mechanisms.
+func TestEachMechanismIsNeeded(t *testing.T) {
+	const seeds = 4000
+	for _, mutation := range mutations {
+		t.Run(strings.ReplaceAll(string(mutation), " ", "_"), func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				if violation, _ := play(seed, mutation); violation != "" {
+					t.Logf("seed %d", seed)
+					return
+				}
+			}
+			require.Fail(t, "no walk found a violation")
+		})
+	}
+	t.Run("all", func(t *testing.T) {
+		spends := 0
+		for seed := range uint64(seeds) {
+			violation, spent := play(seed, unchanged)
+			require.Empty(t, violation, "seed %d", seed)
+			spends += spent
+		}
+		require.Greater(t, spends, 10*seeds, "the walks spend too few tokens to show anything")
+	})
+}
--- /dev/null
+++ b/internal/tokenstock/stock.go
@@ -0,0 +1,241 @@
+// Package tokenstock holds the tokens of one workspace that a proxy may spend. It is pure:
+// the time comes in with each call.
+//
+// Tokens are kept by the allocator that dealt them. They expire a fixed time after the
+// proxy sent the request for them, which is before the allocator stops to count them.
+package tokenstock
+
+import (
+	"slices"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	// demandPeriods periods of demandPeriod are kept of what the proxy spent.
+	demandPeriod  ebonywood.Millis = 250
+	demandPeriods                  = 3
+	// maxWanted bounds a request, so that a burst of callers at one proxy does not take the
+	// tokens of all.
+	maxWanted = 256
+)
+
+// Stock holds the tokens of one workspace. It is not safe for concurrent use.
+type Stock struct {
+	// sources has the tokens by the allocator that dealt them: those of the present holders
+	// of the allocators' keys, and of earlier ones until the tokens have expired.
+	sources []*source
+	// demand counts the operations that asked for a token, by period; period is the last.
+	demand [demandPeriods]int
+	period ebonywood.Millis
+}
+
+// source has the tokens of one claim of an allocator's key.
+type source struct {
+	number int
+	nonce  string
+	// batches are the tokens that can be spent, the oldest first. spent are those that were
+	// spent since the last request was sent: the allocator still counts them.
+	batches, spent []batch
+	blockedUntil   ebonywood.Millis
+	// reportAt is when spent tokens have to be reported; 0 if they need not be.
+	reportAt ebonywood.Millis
+}
+
+// batch is a number of tokens that expire together.
+type batch struct {
+	tokens int
+	until  ebonywood.Millis
+}
+
+// New returns an empty stock.
+func New() *Stock { return &Stock{} }
+
+// CountDemand counts an operation that needs a token.
+func (stock *Stock) CountDemand(now ebonywood.Millis) {
+	stock.roll(now)
+	stock.demand[stock.period%demandPeriods]++
+}
+
+// roll clears the counts of periods that have passed.
+func (stock *Stock) roll(now ebonywood.Millis) {
+	period := now / demandPeriod
+	for passed := stock.period + 1; passed <= period && passed <= stock.period+demandPeriods; passed++ {
+		stock.demand[passed%demandPeriods] = 0
+	}
+	stock.period = max(stock.period, period)
+}
+
+// Take spends the token that expires first and reports whether there was one.
+func (stock *Stock) Take(now ebonywood.Millis) bool {
+	var oldest *source
+	for _, source := range stock.sources {
+		source.expire(now)
+		if len(source.batches) > 0 && (oldest == nil || source.batches[0].until < oldest.batches[0].until) {
+			oldest = source
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	until := oldest.batches[0].until
+	oldest.batches[0].tokens--
+	if oldest.batches[0].tokens == 0 {
+		oldest.batches = oldest.batches[1:]
+	}
+	oldest.spent = appendTokens(oldest.spent, 1, until)
+	return true
+}
+
+// appendTokens adds tokens to the last batch if it expires at the same time, otherwise as a
+// new batch.
+func appendTokens(batches []batch, tokens int, until ebonywood.Millis) []batch {
+	if last := len(batches) - 1; last >= 0 && batches[last].until == until {
+		batches[last].tokens += tokens
+		return batches
+	}
+	return append(batches, batch{tokens: tokens, until: until})
+}
+
+// Return gives back a spent token. One whose allocator was already told that it is spent is
+// lost, because the allocator has dealt another one for it.
+func (stock *Stock) Return(now ebonywood.Millis) {
+	for _, source := range stock.sources {
+		source.expire(now)
+		last := len(source.spent) - 1
+		if last < 0 {
+			continue
+		}
+		until := source.spent[last].until
+		source.spent[last].tokens--
+		if source.spent[last].tokens == 0 {
+			source.spent = source.spent[:last]
+		}
+		source.batches = append([]batch{{tokens: 1, until: until}}, source.batches...)
+		return
+	}
+}
+
+// expire drops the tokens that can't be spent any more.
+func (source *source) expire(now ebonywood.Millis) {
+	for len(source.batches) > 0 && source.batches[0].until <= now {
+		source.batches = source.batches[1:]
+	}
+	for len(source.spent) > 0 && source.spent[0].until <= now {
+		source.spent = source.spent[1:]
+	}
+}
+
+// Held returns how many tokens can be spent.
+func (stock *Stock) Held(now ebonywood.Millis) (held int) {
+	for _, source := range stock.sources {
+		held += source.held(now)
+	}
+	return held
+}
+
+func (source *source) held(now ebonywood.Millis) (held int) {
+	source.expire(now)
+	for _, batch := range source.batches {
+		held += batch.tokens
+	}
+	return held
+}
+
+// IsLow reports whether fewer tokens are held than were needed in the last quarter of a
+// second.
+func (stock *Stock) IsLow(now ebonywood.Millis) bool {
+	stock.roll(now)
+	recent := max(stock.demand[stock.period%demandPeriods], stock.demand[(stock.period+demandPeriods-1)%demandPeriods])
+	return stock.Held(now) < recent
+}
+
+// Wanted returns how many tokens to ask for: what was needed in the last half to three quarters of a second, less what
+// is held, and at least what operations wait for.
+func (stock *Stock) Wanted(now ebonywood.Millis, waiting int) int {
+	stock.roll(now)
+	needed := 0
+	for _, count := range stock.demand {
+		needed += count
+	}
+	return min(max(needed-stock.Held(now), waiting, 1), max(maxWanted, waiting))
+}
+
+// Next returns the first of the allocators, in the order in which to ask them, that may be
+// asked now.
+func (stock *Stock) Next(now ebonywood.Millis, allocators []ebonywood.Allocator) (ebonywood.Allocator, bool) {
+	for _, allocator := range allocators {
+		source, found := stock.find(allocator)
+		if !found || source.blockedUntil <= now {
+			return allocator, true
+		}
+	}
+	return ebonywood.Allocator{}, false
+}
+
+// BeginRequest returns how many tokens of an allocator are held, for a request that is sent
+// now. From then on the allocator counts the spent ones no longer.
+func (stock *Stock) BeginRequest(now ebonywood.Millis, allocator ebonywood.Allocator) (held int) {
+	source := stock.source(allocator)
+	source.spent, source.reportAt = nil, 0
+	return source.held(now)
+}
+
+// find returns the tokens of an allocator.
+func (stock *Stock) find(allocator ebonywood.Allocator) (*source, bool) {
+	for _, source := range stock.sources {
+		if source.number == allocator.Number() && source.nonce == allocator.Nonce() {
+			return source, true
+		}
+	}
+	return nil, false
+}
+
+// source returns the tokens of an allocator. Tokens of an earlier holder of its key stay
+// until they expire, but are not reported as held: the new holder counts them as those of
+// its predecessor.
+func (stock *Stock) source(allocator ebonywood.Allocator) *source {
+	if found, exists := stock.find(allocator); exists {
+		return found
+	}
+	stock.sources = slices.DeleteFunc(stock.sources, func(former *source) bool {
+		return former.number == allocator.Number() && len(former.batches) == 0
+	})
+	created := &source{number: allocator.Number(), nonce: allocator.Nonce()}
+	stock.sources = append(stock.sources, created)
+	return created
+}
+
+// Add adds the tokens of a reply to the request that was sent at sentAt. If retryAfter is not
+// 0, the allocator must not be asked again for that time, and spent tokens have to be
+// reported to it after reportAfter.
+func (stock *Stock) Add(
+	now, sentAt, life, reportAfter ebonywood.Millis, allocator ebonywood.Allocator, tokens int, retryAfter ebonywood.Millis,
+) {
+	source := stock.source(allocator)
+	if tokens > 0 && sentAt+life > now {
+		source.batches = appendTokens(source.batches, tokens, sentAt+life)
+	}
+	if retryAfter == 0 {
+		return
+	}
+	source.blockedUntil = now + retryAfter
+	if tokens > 0 {
+		source.reportAt = now + reportAfter
+	}
+}
+
+// Block makes an allocator not be asked for a time.
+func (stock *Stock) Block(until ebonywood.Millis, allocator ebonywood.Allocator) {
+	stock.source(allocator).blockedUntil = until
+}
+
+// IsReportDue reports whether spent tokens have to be reported to an allocator now. later is
+// set if they have to be, but not yet.
+func (stock *Stock) IsReportDue(now ebonywood.Millis, allocator ebonywood.Allocator) (due, later bool) {
+	source, found := stock.find(allocator)
+	if !found || source.reportAt == 0 {
+		return false, false
+	}
+	return source.reportAt <= now, source.reportAt > now
+}
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 )
 
+// AllocatorPrefix is the prefix of the directory's keys that name the allocators.
+const AllocatorPrefix = "ebonywood/allocators/"
+
+// AllocatorKey returns the key that names the allocator with a number.
+func AllocatorKey(number int) string { return AllocatorPrefix + strconv.Itoa(number) }
+
 // RateLimiter applies the limits of workspaces for the whole fleet. It is safe for
 // concurrent use.
 type RateLimiter interface {
@@ -51,21 +58,36 @@
 	allocator int
 	nonce     string
 	needs     []TokenNeed
+	run       string
+	sequence  uint64
 }
 
 // NewTokenRequest returns a request of the named proxy to the allocator with a number.
-// nonce identifies the run of the allocator's process.
+// nonce identifies the allocator's claim of its key.
 func NewTokenRequest(proxy string, allocator int, nonce string, needs []TokenNeed) TokenRequest {
 	return TokenRequest{proxy: proxy, allocator: allocator, nonce: nonce, needs: needs}
 }
 
+// WithSequence returns the request with its number among those of one run of the proxy, so
+// that the allocator can recognize a request that was overtaken by a later one.
+func (request TokenRequest) WithSequence(run string, sequence uint64) TokenRequest {
+	request.run, request.sequence = run, sequence
+	return request
+}
+
+// Run identifies the run of the proxy that asks.
+func (request TokenRequest) Run() string { return request.run }
+
+// Sequence orders the requests of one run.
+func (request TokenRequest) Sequence() uint64 { return request.sequence }
+
 // Proxy returns the name of the proxy that asks.
 func (request TokenRequest) Proxy() string { return request.proxy }
 
 // Allocator returns the number of the allocator.
 func (request TokenRequest) Allocator() int { return request.allocator }
 
-// Nonce identifies the run of the allocator's process.
+// Nonce identifies the allocator's claim of its key.
 func (request TokenRequest) Nonce() string { return request.nonce }
 
 // Needs returns what the proxy needs, one entry for each workspace.
@@ -117,11 +139,12 @@
 	holder  string
 	address string
 	nonce   string
+	settled bool
 }
 
 // NewAllocator returns the allocator with a number, from 0. holder is the name of the proxy
-// that is the allocator, address its peer address, and nonce identifies the run of its
-// process.
+// that is the allocator, address its peer address, and nonce identifies its claim
+// of the key.
 func NewAllocator(number int, holder, address, nonce string) Allocator {
 	return Allocator{number: number, holder: holder, address: address, nonce: nonce}
 }
@@ -135,7 +158,18 @@
 // Address returns the holder's peer address.
 func (allocator Allocator) Address() string { return allocator.address }
 
-// Nonce identifies the run of the holder's process.
+// WithSettled returns the allocator as one that has held its key for longer than a token
+// lives.
+func (allocator Allocator) WithSettled(settled bool) Allocator {
+	allocator.settled = settled
+	return allocator
+}
+
+// IsSettled reports whether the allocator has held its key for longer than a token lives, so
+// that all unspent tokens of its number are its own.
+func (allocator Allocator) IsSettled() bool { return allocator.settled }
+
+// Nonce identifies the claim of the key.
 func (allocator Allocator) Nonce() string { return allocator.nonce }
 
 // AllocatorsListed reports the allocators whose keys the directory holds, in the order of
