--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -16,6 +16,9 @@
 	// clockMargin is how long before its lease may end an allocator stops: for the difference
 	// between the speeds of the clocks of this host and of the store.
 	clockMargin ebonywood.Millis = 200
+	// retryDelay is the time between a failed renewal and the next: an outage of the store that
+	// is shorter than the lease must not cost the lease.
+	retryDelay = 250 * time.Millisecond
 	// callTimeout bounds a call to the store, renewTimeout a renewal, so that another one can
 	// succeed before the lease ends. revokeTimeout bounds the call that revokes a lease.
 	callTimeout   = time.Second
@@ -106,40 +109,46 @@
 	}
 	claim.start(sentAt)
 	claim.log("held", nil)
-	ticker := time.NewTicker(claim.edge.ttl.Duration() / renewalsPerTTL)
-	defer ticker.Stop()
+	delay := claim.edge.ttl.Duration() / renewalsPerTTL
 	for {
 		select {
 		case <-ctx.Done():
 			claim.release("the process ends")
 			return nil
-		case <-ticker.C:
+		case <-time.After(delay):
 		}
 		if !claim.edge.isNeeded() {
 			claim.release("no workspace has a rate")
 			return nil
 		}
-		if err := claim.maintain(ctx); err != nil {
+		renewed, err := claim.maintain(ctx)
+		if err != nil {
 			claim.log("lost", err)
 			return nil
 		}
+		delay = claim.edge.ttl.Duration() / renewalsPerTTL
+		if !renewed {
+			delay = retryDelay
+		}
 	}
 }
 
-// maintain renews the lease and settles the key. It returns an error if the key is lost.
-func (claim *claim) maintain(ctx context.Context) error {
-	err := claim.renew(ctx)
-	if err == nil {
+// maintain renews the lease and settles the key. It returns an error if the key is lost, and
+// otherwise whether the lease was renewed.
+func (claim *claim) maintain(ctx context.Context) (renewed bool, err error) {
+	err = claim.renew(ctx)
+	renewed = err == nil
+	if renewed {
 		err = claim.settle(ctx)
 	}
 	if err == nil {
-		return nil
+		return renewed, nil
 	}
 	switch ebonywood.FaultOf(err).Kind() {
 	case ebonywood.KindStale, ebonywood.KindConflict:
-		return err
+		return false, err
 	}
-	return nil
+	return renewed, nil
 }
 
 // log writes the outcome of a claim.
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -229,15 +229,6 @@
 func (relay fleetRelay) RequestTokens(ctx context.Context, address string, request ebonywood.TokenRequest) (ebonywood.TokenReply, error) {
 	fleet := relay.proxy.fleet
 	fleet.messages.Add(1)
-	for _, need := range request.Needs() {
-		if need.Wanted() == 0 {
-			fleet.dbgReports.Add(1)
-		} else if need.Workspace() == "w0" {
-			fleet.dbgPressed.Add(1)
-		} else {
-			fleet.dbgOther.Add(1)
-		}
-	}
 	time.Sleep(peerLatency)
 	target := fleet.proxy(address)
 	if relay.proxy.isCut() || target.isCut() {
@@ -257,7 +248,6 @@
 	cut      []atomic.Bool
 	messages atomic.Int64
 	listing  atomic.Bool
-	dbgReports, dbgPressed, dbgOther atomic.Int64
 	tasks    sync.WaitGroup
 
 	mutex   sync.Mutex
@@ -469,7 +459,6 @@
 		lost += refused[workspace]
 	}
 	messages := float64(fleet.messages.Swap(0)) / fleetProxies / duration.Seconds()
-	t.Log("reports", fleet.dbgReports.Swap(0), "pressed", fleet.dbgPressed.Swap(0), "other", fleet.dbgOther.Swap(0), refused)
 	t.Logf("%s: pressing workspace %.3f of its allowance, others refused %d of %d, %.1f requests per proxy and second", name, served, lost, others, messages)
 	require.GreaterOrEqual(t, served, least, name)
 	require.LessOrEqual(t, float64(lost)/float64(others), mostRefused, name)
--- a/internal/edge/ratelimit/ratelimit.go
+++ b/internal/edge/ratelimit/ratelimit.go
@@ -31,8 +31,8 @@
 // The bounds for settings that state none.
 const (
 	defaultWindow  ebonywood.Millis = 5000
-	defaultOverage                  = 0.1
-	defaultSlack                    = 20
+	defaultOverage float64          = 0.1
+	defaultSlack   float64          = 20
 )
 
 // boundsSettings is implemented by settings that bound the operations of a workspace in a
@@ -69,7 +69,7 @@
 
 // New returns an edge that uses the port.
 func New(port ebonywood.Port) *Edge {
-	window, overage, slack := defaultWindow, defaultOverage, float64(defaultSlack)
+	window, overage, slack := defaultWindow, defaultOverage, defaultSlack
 	if settings, ok := port.Settings().(boundsSettings); ok {
 		window, overage, slack = settings.RateBounds()
 	}
--- a/internal/edge/ratelimit/request.go
+++ b/internal/edge/ratelimit/request.go
@@ -153,8 +153,9 @@
 	next.allocator = allocators[index]
 	var needs []ebonywood.TokenNeed
 	for _, stock := range next.asked {
-		wanted := stock.tokens.Wanted(now, len(stock.waiters))
-		needs = append(needs, ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), wanted))
+		urgent := len(stock.waiters)
+		need := ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), stock.tokens.Wanted(now, urgent))
+		needs = append(needs, need.WithUrgent(urgent))
 	}
 	next.stocks = append(next.stocks, next.asked...)
 	for stock := range link.reports {
@@ -187,9 +188,9 @@
 		if index >= len(grants) || grants[index].Workspace() != stock.name {
 			break
 		}
-		grant := grants[index]
-		stock.tokens.Add(now, next.sentAt, edge.life, reportDelay, next.allocator, grant.Tokens(), grant.RetryAfter())
-		if grant.Tokens() > 0 && grant.RetryAfter() > 0 {
+		grant, urgent := grants[index], next.request.Needs()[index].Urgent()
+		stock.tokens.Add(now, next.sentAt, edge.life, reportDelay, next.allocator, grant.Tokens(), urgent, grant.RetryAfter())
+		if grant.Tokens() > urgent && grant.RetryAfter() > 0 {
 			link.reports[stock] = struct{}{}
 			edge.startReporting()
 		}
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -101,6 +101,7 @@
 	Workspace string `cbor:"1,keyasint"`
 	Held      int    `cbor:"2,keyasint,omitempty"`
 	Wanted    int    `cbor:"3,keyasint,omitempty"`
+	Urgent    int    `cbor:"4,keyasint,omitempty"`
 }
 
 // grantsMessage is the reply to a request for tokens. If Refusal is not empty, there are no
@@ -123,7 +124,7 @@
 		Run: request.Run(), Sequence: request.Sequence(),
 	}
 	for _, need := range request.Needs() {
-		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted()})
+		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted(), Urgent: need.Urgent()})
 	}
 	return message
 }
@@ -131,7 +132,7 @@
 func (message *tokensMessage) decode() ebonywood.TokenRequest {
 	needs := make([]ebonywood.TokenNeed, 0, len(message.Needs))
 	for _, need := range message.Needs {
-		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted))
+		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted).WithUrgent(need.Urgent))
 	}
 	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs).WithSequence(message.Run, message.Sequence)
 }
--- a/internal/plugins/purity_test.go
+++ b/internal/plugins/purity_test.go
@@ -15,6 +15,7 @@
 // test with its own clock, must be able to drive them.
 var decisionPackages = []string{
 	"../decision/*", "../router", "../session", "../retry", "../confirmation", "../queue", "../cost", "../rendezvous",
+	"../tokenbucket", "../tokenstock",
 }
 
 // allowedImports are the imports that decisions may use, besides internal/rendezvous.
--- a/internal/tokenbucket/allocator.go
+++ b/internal/tokenbucket/allocator.go
@@ -54,7 +54,7 @@
 			grants = append(grants, ebonywood.NewTokenGrant(need.Workspace(), 0, maxRetry))
 			continue
 		}
-		tokens, retryAfter := allocator.bucket(now, workspace).deal(now, proxy, need.Held(), need.Wanted())
+		tokens, retryAfter := allocator.bucket(now, workspace).deal(now, proxy, need.Held(), need.Wanted(), need.Urgent())
 		grants = append(grants, ebonywood.NewTokenGrant(need.Workspace(), tokens, retryAfter))
 	}
 	return ebonywood.NewTokenReply(grants)
--- a/internal/tokenbucket/bucket.go
+++ b/internal/tokenbucket/bucket.go
@@ -1,7 +1,7 @@
 package tokenbucket
 
 import (
-	"math"
+	"slices"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -11,10 +11,13 @@
 	demandPeriod ebonywood.Millis = 500
 	// requestsPerSecond is how many requests of a pressed workspace one allocator asks for;
 	// four allocators make a few hundred in the fleet.
-	requestsPerSecond = 75
+	requestsPerSecond = 50
 	// minRetry and maxRetry bound the time after which a proxy may ask again.
 	minRetry ebonywood.Millis = 50
 	maxRetry ebonywood.Millis = 2000
+	// nearRetry is the retry time of a workspace near its limit that got all it asked for. It
+	// makes the proxy report soon what it has spent.
+	nearRetry ebonywood.Millis = 1
 	// pressedShare is the share of the bucket or of the tokens that may be dealt below
 	// which proxies have to wait between two requests.
 	pressedShare = 0.25
@@ -32,13 +35,14 @@
 	life             ebonywood.Millis
 	accounts         map[string]*account
 	// outstanding is the sum of the tokens dealt in all accounts. expiries has one entry for
-	// each request, in order of time.
-	outstanding int
-	expiries    []expiry
-	demand      demand
+	// each request, urgentExpiries one for each that got urgent tokens, both in order of time.
+	outstanding              int
+	expiries, urgentExpiries []expiry
+	demand                   demand
 }
 
-// account has the tokens dealt to one proxy that it may not have spent, the oldest first.
+// account has the tokens dealt to one proxy that it may not have spent, those that expire
+// first at the beginning.
 type account struct {
 	batches []batch
 	askedAt ebonywood.Millis
@@ -93,10 +97,17 @@
 	// The clamp comes before the expiry: what was lost to tokens still outstanding at some
 	// time before now can't be created afterwards.
 	bucket.clamp(now)
-	for len(bucket.expiries) > 0 && bucket.expiries[0].until <= now {
-		bucket.expire(bucket.expiries[0].proxy, now)
-		bucket.expiries = bucket.expiries[1:]
+	bucket.urgentExpiries = bucket.expireDue(bucket.urgentExpiries, now)
+	bucket.expiries = bucket.expireDue(bucket.expiries, now)
+}
+
+// expireDue looks through the accounts whose time has come and returns the other entries.
+func (bucket *bucket) expireDue(expiries []expiry, now ebonywood.Millis) []expiry {
+	for len(expiries) > 0 && expiries[0].until <= now {
+		bucket.expire(expiries[0].proxy, now)
+		expiries = expiries[1:]
 	}
+	return expiries
 }
 
 // clamp drops the tokens that exceed the bucket or, with all that may be unspent elsewhere,
@@ -125,7 +136,7 @@
 }
 
 // report records that the proxy has spent all but held of the tokens dealt to it. It spends
-// the oldest first.
+// those that expire first.
 func (bucket *bucket) report(account *account, held int) {
 	sum := 0
 	for _, batch := range account.batches {
@@ -142,9 +153,10 @@
 	}
 }
 
-// deal answers a request of a proxy that holds tokens of this allocator and wants more. It
-// returns the number dealt, and how long the proxy should wait before it asks again.
-func (bucket *bucket) deal(now ebonywood.Millis, proxy string, held, wanted int) (tokens int, retryAfter ebonywood.Millis) {
+// deal answers a request of a proxy that holds tokens of this allocator and wants more, some of
+// them urgently. It returns the number dealt, and how long the proxy should wait before it asks
+// again.
+func (bucket *bucket) deal(now ebonywood.Millis, proxy string, held, wanted, urgent int) (tokens int, retryAfter ebonywood.Millis) {
 	bucket.advance(now)
 	entry, found := bucket.accounts[proxy]
 	if !found {
@@ -164,31 +176,49 @@
 	if total := bucket.demand.total(); total > available {
 		tokens = min(tokens, bucket.share(available, wanted, total, retry))
 	}
-	if tokens > 0 {
-		bucket.tokens -= float64(tokens)
-		bucket.outstanding += tokens
-		entry.batches = append(entry.batches, batch{tokens: tokens, until: now + bucket.life})
+	bucket.tokens -= float64(tokens)
+	bucket.outstanding += tokens
+	urgent = min(max(0, urgent), tokens)
+	if urgent > 0 {
+		bucket.urgentExpiries = append(bucket.urgentExpiries, expiry{proxy: proxy, until: now + ebonywood.UrgentTokenLife})
+		entry.add(urgent, now+ebonywood.UrgentTokenLife)
+	}
+	if tokens > urgent {
+		entry.add(tokens-urgent, now+bucket.life)
 	}
-	if tokens == wanted && !bucket.isPressed() {
+	switch {
+	case tokens < wanted:
+		return tokens, retry
+	case bucket.isPressed():
+		return tokens, nearRetry
+	default:
 		return tokens, 0
 	}
-	return tokens, retry
+}
+
+// add adds tokens in the order in which they expire.
+func (account *account) add(tokens int, until ebonywood.Millis) {
+	index := len(account.batches)
+	for index > 0 && account.batches[index-1].until > until {
+		index--
+	}
+	account.batches = slices.Insert(account.batches, index, batch{tokens: tokens, until: until})
 }
 
 // share returns how many of the available tokens one proxy gets while all want more than
-// there is: its share of what is created until it may ask again, at least half of a bucket
-// that is half full, since what does not fit is lost, and at least one.
+// there is: its share of what is created until it may ask again, rounded up, and at least half
+// of a bucket that is half full, since what does not fit is lost.
 func (bucket *bucket) share(available, wanted, total int, retry ebonywood.Millis) int {
 	created := bucket.limit.rate * float64(retry) / millisPerSecond
-	share := int(math.Ceil(created * float64(wanted) / float64(total)))
+	share := 1 + int(created*float64(wanted)/float64(total))
 	if bucket.tokens >= bucket.limit.bucket/2 {
 		share = max(share, available/2)
 	}
-	return max(1, share)
+	return share
 }
 
-// isPressed reports whether the workspace is near its limit, so that requests have to be
-// spread and spent tokens to be reported.
+// isPressed reports whether the workspace is near its limit, so that spent tokens have to be
+// reported.
 func (bucket *bucket) isPressed() bool {
 	return bucket.tokens < pressedShare*bucket.limit.bucket ||
 		float64(bucket.outstanding) > (1-pressedShare)*bucket.limit.dealt
--- a/internal/tokenbucket/limit.go
+++ b/internal/tokenbucket/limit.go
@@ -14,13 +14,12 @@
 	// dealtShare is the share of the overage and the slack that tokens may use. The rest
 	// covers the time between the spending of a token and the arrival at a member.
 	dealtShare = 0.8
-	// minBucketTime is the time in which tokens are created that the bucket holds even
-	// without a burst: proxies ask every few tens of milliseconds, and what a full bucket
-	// can't hold is lost.
-	minBucketTime     = 0.1
-	millisPerSecond   = 1000
-	maxBucketOfTotal  = 0.5
-	smallestUsefulSum = 1
+	// minBucketShare is the share of the total that the bucket holds at least, whatever the
+	// burst is. A smaller bucket often has no token for one of the few operations of a small
+	// workspace, because these come at random to one of the allocators; tokens dealt for
+	// operations that wait are not counted for long, so the other part may be small, too.
+	minBucketShare  = 0.5
+	millisPerSecond = 1000
 )
 
 // Bounds is the rule for the operations of a workspace in any window: at most
@@ -62,7 +61,6 @@
 	rate, burst = rate*share, burst*share
 	excess := dealtShare * ((rate*bounds.seconds()+burst)*bounds.overage + bounds.slack*share)
 	total := burst + excess
-	// A bucket that can't hold a whole token deals none, so it takes from the excess.
-	bucket := max(burst, min(maxBucketOfTotal*total, max(smallestUsefulSum, rate*minBucketTime)))
+	bucket := max(burst, minBucketShare*total)
 	return Limit{rate: rate, bucket: bucket, dealt: total - bucket}
 }
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -46,11 +46,13 @@
 	noTokenLife          mutation = "a proxy's tokens do not expire"
 	lifeFromReply        mutation = "a token's life begins when the reply arrives"
 	returnsReportedSpent mutation = "a token that was reported as spent is returned"
+	noUrgentLife         mutation = "urgent tokens live as long as others"
 	noHeldReport         mutation = "requests do not say what the proxy holds"
 )
 
 var mutations = []mutation{
-	noLeaseCheck, noPredecessor, noSettling, noSequence, lateReplies, noTokenLife, lifeFromReply, returnsReportedSpent, noHeldReport,
+	noLeaseCheck, noPredecessor, noSettling, noSequence, lateReplies, noTokenLife, lifeFromReply, returnsReportedSpent, noUrgentLife,
+	noHeldReport,
 }
 
 // model is a fleet with one workspace.
@@ -301,6 +303,9 @@
 	}
 	proxy.sequence++
 	need := ebonywood.NewTokenNeed("w", held, 1+model.choose(20))
+	if model.choose(3) == 0 {
+		need = need.WithUrgent(1 + model.choose(need.Wanted()))
+	}
 	request := ebonywood.NewTokenRequest(proxy.name, number, to.listed.Nonce(), []ebonywood.TokenNeed{need})
 	proxy.messages = append(proxy.messages, &message{to: to, request: request.WithSequence(proxy.run, proxy.sequence), sentAt: now})
 	model.log("%s asks %d, holds %d, wants %d", proxy.name, number, held, need.Wanted())
@@ -356,10 +361,14 @@
 	if model.mutation == lifeFromReply {
 		sentAt = now
 	}
+	urgent := message.request.Needs()[0].Urgent()
 	if model.mutation == noTokenLife {
 		life = 1000 * modelLife
 	}
-	proxy.stock.Add(now, sentAt, life, 0, message.to.listed, message.tokens, 0)
+	if model.mutation == noUrgentLife {
+		urgent = 0
+	}
+	proxy.stock.Add(now, sentAt, life, 0, message.to.listed, message.tokens, urgent, 0)
 	model.log("%s receives %d", proxy.name, message.tokens)
 }
 
@@ -405,7 +414,7 @@
 	before := proxy.stock.Held(now)
 	proxy.stock.Return(now)
 	if model.mutation == returnsReportedSpent && proxy.stock.Held(now) == before {
-		proxy.stock.Add(now, now, modelLife, 0, ebonywood.NewAllocator(0, "", "", "returned"), 1, 0)
+		proxy.stock.Add(now, now, modelLife, 0, ebonywood.NewAllocator(0, "", "", "returned"), 1, 0, 0)
 	}
 	model.log("%s returns one", proxy.name)
 }
--- a/internal/tokenstock/stock.go
+++ b/internal/tokenstock/stock.go
@@ -11,10 +11,12 @@
 	"github.com/ebonywood/ebonywood"
 )
 
+// demandPeriod is the length of one of the periods of which the demand is kept.
+const demandPeriod ebonywood.Millis = 250
+
 const (
-	// demandPeriods periods of demandPeriod are kept of what the proxy spent.
-	demandPeriod  ebonywood.Millis = 250
-	demandPeriods                  = 3
+	// demandPeriods is the number of these periods.
+	demandPeriods = 3
 	// maxWanted bounds a request, so that a burst of callers at one proxy does not take the
 	// tokens of all.
 	maxWanted = 256
@@ -34,7 +36,7 @@
 type source struct {
 	number int
 	nonce  string
-	// batches are the tokens that can be spent, the oldest first. spent are those that were
+	// batches are the tokens that can be spent, those that expire first at the beginning. spent are those that were
 	// spent since the last request was sent: the allocator still counts them.
 	batches, spent []batch
 	blockedUntil   ebonywood.Millis
@@ -83,18 +85,21 @@
 	if oldest.batches[0].tokens == 0 {
 		oldest.batches = oldest.batches[1:]
 	}
-	oldest.spent = appendTokens(oldest.spent, 1, until)
+	oldest.spent = insert(oldest.spent, 1, until)
 	return true
 }
 
-// appendTokens adds tokens to the last batch if it expires at the same time, otherwise as a
-// new batch.
-func appendTokens(batches []batch, tokens int, until ebonywood.Millis) []batch {
-	if last := len(batches) - 1; last >= 0 && batches[last].until == until {
-		batches[last].tokens += tokens
+// insert adds tokens in the order in which they expire.
+func insert(batches []batch, tokens int, until ebonywood.Millis) []batch {
+	index := len(batches)
+	for index > 0 && batches[index-1].until > until {
+		index--
+	}
+	if index > 0 && batches[index-1].until == until {
+		batches[index-1].tokens += tokens
 		return batches
 	}
-	return append(batches, batch{tokens: tokens, until: until})
+	return slices.Insert(batches, index, batch{tokens: tokens, until: until})
 }
 
 // Return gives back a spent token. One whose allocator was already told that it is spent is
@@ -111,7 +116,7 @@
 		if source.spent[last].tokens == 0 {
 			source.spent = source.spent[:last]
 		}
-		source.batches = append([]batch{{tokens: 1, until: until}}, source.batches...)
+		source.batches = insert(source.batches, 1, until)
 		return
 	}
 }
@@ -143,22 +148,23 @@
 }
 
 // IsLow reports whether fewer tokens are held than were needed in the last quarter of a
-// second.
+// second, without the operation that was counted last.
 func (stock *Stock) IsLow(now ebonywood.Millis) bool {
 	stock.roll(now)
-	recent := max(stock.demand[stock.period%demandPeriods], stock.demand[(stock.period+demandPeriods-1)%demandPeriods])
+	recent := max(stock.demand[stock.period%demandPeriods]-1, stock.demand[(stock.period+demandPeriods-1)%demandPeriods])
 	return stock.Held(now) < recent
 }
 
-// Wanted returns how many tokens to ask for: what was needed in the last half to three quarters of a second, less what
-// is held, and at least what operations wait for.
+// Wanted returns how many tokens to ask for: half of what was needed in the last half to
+// three quarters of a second, less what is held, and at least what operations wait for. More
+// would expire at proxies with few callers, or be missed elsewhere meanwhile.
 func (stock *Stock) Wanted(now ebonywood.Millis, waiting int) int {
 	stock.roll(now)
 	needed := 0
 	for _, count := range stock.demand {
 		needed += count
 	}
-	return min(max(needed-stock.Held(now), waiting, 1), max(maxWanted, waiting))
+	return min(max(needed/2-stock.Held(now), waiting, 1), max(maxWanted, waiting))
 }
 
 // Next returns the first of the allocators, in the order in which to ask them, that may be
@@ -206,21 +212,26 @@
 	return created
 }
 
-// Add adds the tokens of a reply to the request that was sent at sentAt. If retryAfter is not
+// Add adds the tokens of a reply to the request that was sent at sentAt, which said how many of
+// them are urgent. If retryAfter is not
 // 0, the allocator must not be asked again for that time, and spent tokens have to be
 // reported to it after reportAfter.
 func (stock *Stock) Add(
-	now, sentAt, life, reportAfter ebonywood.Millis, allocator ebonywood.Allocator, tokens int, retryAfter ebonywood.Millis,
+	now, sentAt, life, reportAfter ebonywood.Millis, allocator ebonywood.Allocator, tokens, urgent int, retryAfter ebonywood.Millis,
 ) {
 	source := stock.source(allocator)
-	if tokens > 0 && sentAt+life > now {
-		source.batches = appendTokens(source.batches, tokens, sentAt+life)
+	urgent = min(urgent, tokens)
+	if urgent > 0 {
+		source.batches = insert(source.batches, urgent, sentAt+min(life, ebonywood.UrgentTokenLife))
+	}
+	if tokens > urgent {
+		source.batches = insert(source.batches, tokens-urgent, sentAt+life)
 	}
 	if retryAfter == 0 {
 		return
 	}
 	source.blockedUntil = now + retryAfter
-	if tokens > 0 {
+	if tokens > urgent {
 		source.reportAt = now + reportAfter
 	}
 }
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -12,6 +12,11 @@
 // AllocatorKey returns the key that names the allocator with a number.
 func AllocatorKey(number int) string { return AllocatorPrefix + strconv.Itoa(number) }
 
+// UrgentTokenLife is how long a token may be spent, after the request for it, that was dealt
+// for an operation that waits. It is longer than an operation waits. Its allocator need not be
+// told that it is spent, because it soon counts it no longer anyway.
+const UrgentTokenLife Millis = 250
+
 // RateLimiter applies the limits of workspaces for the whole fleet. It is safe for
 // concurrent use.
 type RateLimiter interface {
@@ -35,6 +40,7 @@
 	workspace string
 	held      int
 	wanted    int
+	urgent    int
 }
 
 // NewTokenNeed returns a need. held is how many tokens of the same allocator the proxy has
@@ -43,6 +49,16 @@
 	return TokenNeed{workspace: workspace, held: held, wanted: wanted}
 }
 
+// WithUrgent returns the need with the number of the wanted tokens that operations wait for.
+func (need TokenNeed) WithUrgent(urgent int) TokenNeed {
+	need.urgent = urgent
+	return need
+}
+
+// Urgent returns how many of the wanted tokens operations wait for. They live for
+// UrgentTokenLife only.
+func (need TokenNeed) Urgent() int { return need.urgent }
+
 // Workspace returns the workspace's name.
 func (need TokenNeed) Workspace() string { return need.workspace }
 
