--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -466,6 +466,14 @@
 
 // play runs a test on a fleet that has started.
 func play(t *testing.T, test func(t *testing.T, fleet *fleet)) {
+	playWith(t, rateOf, func(t *testing.T, fleet *fleet) {
+		require.Len(t, fleet.allocators(), 4)
+		test(t, fleet)
+	})
+}
+
+// playWith is play for other rates.
+func playWith(t *testing.T, rateOf func(workspace int) float64, test func(t *testing.T, fleet *fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		var workspaces []*ebonywood.Workspace
 		for i := range fleetWorkspaces {
@@ -486,7 +494,6 @@
 		defer fleet.tasks.Wait()
 		defer func() { fleet.kill(t) }()
 		time.Sleep(2 * time.Second)
-		require.Len(t, fleet.allocators(), 4)
 		test(t, fleet)
 		fleet.requireBound(t)
 	})
@@ -560,6 +567,61 @@
 	})
 }
 
+// TestFleetLosesItsAllocators cuts off all allocators, which go on dealing to themselves and to
+// each other's former callers until their leases end, while others take over. It guards against
+// two processes that deal the same part of the rate.
+func TestFleetLosesItsAllocators(t *testing.T) {
+	play(t, func(t *testing.T, fleet *fleet) {
+		fleet.load(8 * time.Second)
+		for range 2 {
+			for _, allocator := range fleet.allocators() {
+				fleet.cut[fleet.proxy(allocator.Holder()).index].Store(true)
+			}
+			fleet.load(9 * time.Second)
+			for index := range fleetProxies {
+				fleet.cut[index].Store(false)
+			}
+			fleet.list()
+			fleet.takeCounts()
+			fleet.messages.Store(0)
+			const measured = 6 * time.Second
+			fleet.load(measured)
+			fleet.requireServed(t, "after the takeover", measured, 0.95, 0.01)
+		}
+	})
+}
+
+// TestNothingRunsWithoutARate guards against messages, calls to the store and refusals in a
+// deployment whose workspaces have no rate.
+func TestNothingRunsWithoutARate(t *testing.T) {
+	playWith(t, func(int) float64 { return 0 }, func(t *testing.T, fleet *fleet) {
+		fleet.load(3 * time.Second)
+		_, refused := fleet.takeCounts()
+		require.Equal(t, make([]int, fleetWorkspaces), refused)
+		require.Zero(t, fleet.messages.Load())
+		require.Zero(t, fleet.store.calls)
+		for _, proxy := range fleet.running() {
+			require.Empty(t, proxy.edge.stocks)
+			require.Empty(t, proxy.edge.claims)
+		}
+		fleet.spent = nil
+	})
+}
+
+// BenchmarkTake measures an operation that finds a token.
+func BenchmarkTake(b *testing.B) {
+	workspace := ebonywood.NewWorkspace("w", nil, nil, 0).WithRate(1e9, 1e9)
+	fleet := &fleet{clock: startClock{start: time.Now()}, set: ebonywood.NewObjectSet(1, "", nil, nil, nil)}
+	proxy := &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", 4), snapshot: ebonywood.NewDraft().Publish()}
+	edge := New(proxy)
+	allocator := ebonywood.NewAllocator(0, "p", "p", "n")
+	edge.stock("w").tokens.Add(0, 0, 1e9, 0, allocator, 1<<40, 0, 0)
+	b.ReportAllocs()
+	for b.Loop() {
+		edge.Take(context.Background(), workspace, time.Time{})
+	}
+}
+
 func (store *memoryStore) setDown(down bool) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
--- a/internal/edge/relay/message_test.go
+++ b/internal/edge/relay/message_test.go
@@ -55,6 +55,27 @@
 	}
 }
 
+// TestTokenRoundTrip checks that requests for tokens and their replies are decoded with all
+// fields.
+func TestTokenRoundTrip(t *testing.T) {
+	needs := []ebonywood.TokenNeed{ebonywood.NewTokenNeed("w", 3, 9).WithUrgent(2), ebonywood.NewTokenNeed("v", 0, 0)}
+	request := ebonywood.NewTokenRequest("p", 2, "nonce", needs).WithSequence("run", 7)
+	data, err := wire.Marshal(encodeTokenRequest(request))
+	require.NoError(t, err)
+	var message tokensMessage
+	require.NoError(t, wire.Unmarshal(data, &message))
+	require.Equal(t, request, message.decode())
+	for _, reply := range []ebonywood.TokenReply{
+		ebonywood.NewTokenRefusal("no"), ebonywood.NewTokenReply([]ebonywood.TokenGrant{ebonywood.NewTokenGrant("w", 4, 120)}),
+	} {
+		data, err := wire.Marshal(encodeTokenReply(reply))
+		require.NoError(t, err)
+		var message grantsMessage
+		require.NoError(t, wire.Unmarshal(data, &message))
+		require.Equal(t, reply, message.decode())
+	}
+}
+
 // FuzzMessages decodes arbitrary bytes as each message.
 func FuzzMessages(f *testing.F) {
 	data, err := wire.Marshal(encodeRequest(ebonywood.NewForwardRequest(ebonywood.NewSessionState("d", 1, nil, ebonywood.Position{}, 0), ebonywood.Statement{}, "")))
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -489,6 +489,7 @@
 	const seeds = 1000
 	for _, mutation := range mutations {
 		t.Run(strings.ReplaceAll(string(mutation), " ", "_"), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10 * seeds) {
 				if violation, _ := play(1, seed, mutation); violation != "" {
 					t.Logf("seed %d", seed)
