--- a/internal/tokenbucket/bucket_test.go
+++ b/internal/tokenbucket/bucket_test.go
@@ -51,6 +51,25 @@
 	require.Positive(t, grant.Tokens())
 }
 
+// TestNewAllocatorLeavesRoomForItsPredecessor guards against a new allocator that fills its whole
+// total while the tokens that its predecessor dealt may still be spent. Only a window that begins
+// in just that moment shows it.
+func TestNewAllocatorLeavesRoomForItsPredecessor(t *testing.T) {
+	const startedAt ebonywood.Millis = 10_000
+	limit := NewLimit(100, 50, NewBounds(5000, 0.1, 20), 4)
+	bucket := newBucket(limit, startedAt, life)
+	dealt := 0
+	for now := startedAt; now < startedAt+life; now += 50 {
+		tokens, _ := bucket.deal(now, "p", dealt, 100, 0)
+		dealt += tokens
+		require.LessOrEqual(t, bucket.tokens+float64(bucket.outstanding), limit.bucket)
+	}
+	require.Equal(t, int(limit.bucket), dealt, "what it creates meanwhile is dealt")
+	empty := newBucket(limit, startedAt, life)
+	tokens, _ := empty.deal(startedAt, "p", 0, 100, 0)
+	require.Zero(t, tokens, "a new bucket is empty")
+}
+
 // TestLoweredLimitBindsAtOnce guards against tokens of a former limit that are dealt after an
 // allocator has learned of a lower one.
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
