--- a/internal/tokenbucket/bucket.go
+++ b/internal/tokenbucket/bucket.go
@@ -18,6 +18,9 @@
 	// nearRetry is the retry time of a workspace near its limit that got all it asked for. It
 	// makes the proxy report soon what it has spent.
 	nearRetry ebonywood.Millis = 1
+	// maxSpare is how many tokens a proxy gets beyond what it asked for. A proxy with few callers
+	// uses hardly more before they expire.
+	maxSpare = 2
 	// pressedShare is the share of the bucket or of the tokens that may be dealt below
 	// which proxies have to wait between two requests.
 	pressedShare = 0.25
@@ -176,9 +179,13 @@
 	if total := bucket.demand.total(); total > available {
 		tokens = min(tokens, bucket.share(available, wanted, total, retry))
 	}
+	urgent = min(max(0, urgent), tokens)
+	enough := tokens == wanted
+	if enough && urgent == wanted {
+		tokens += bucket.spare(tokens)
+	}
 	bucket.tokens -= float64(tokens)
 	bucket.outstanding += tokens
-	urgent = min(max(0, urgent), tokens)
 	if urgent > 0 {
 		bucket.urgentExpiries = append(bucket.urgentExpiries, expiry{proxy: proxy, until: now + ebonywood.UrgentTokenLife})
 		entry.add(urgent, now+ebonywood.UrgentTokenLife)
@@ -187,7 +194,7 @@
 		entry.add(tokens-urgent, now+bucket.life)
 	}
 	switch {
-	case tokens < wanted:
+	case !enough:
 		return tokens, retry
 	case bucket.isPressed():
 		return tokens, nearRetry
@@ -196,6 +203,14 @@
 	}
 }
 
+// spare returns how many tokens a proxy gets in addition to those that its operations wait for,
+// so that the next operations find one: as many as leave half of the bucket, and of what may be
+// outstanding, to operations elsewhere.
+func (bucket *bucket) spare(dealt int) int {
+	room := min(bucket.tokens-bucket.limit.bucket/2, bucket.limit.dealt/2-float64(bucket.outstanding)) - float64(dealt)
+	return max(0, min(maxSpare, int(room)))
+}
+
 // add adds tokens in the order in which they expire.
 func (account *account) add(tokens int, until ebonywood.Millis) {
 	index := len(account.batches)
