--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -92,6 +92,8 @@
 	Allocator int           `cbor:"3,keyasint"`
 	Nonce     string        `cbor:"4,keyasint"`
 	Needs     []needMessage `cbor:"5,keyasint"`
+	Run       string        `cbor:"6,keyasint"`
+	Sequence  uint64        `cbor:"7,keyasint"`
 }
 
 // needMessage is what a proxy holds and needs of the tokens of one workspace.
@@ -99,6 +101,7 @@
 	Workspace string `cbor:"1,keyasint"`
 	Held      int    `cbor:"2,keyasint,omitempty"`
 	Wanted    int    `cbor:"3,keyasint,omitempty"`
+	Urgent    int    `cbor:"4,keyasint,omitempty"`
 }
 
 // grantsMessage is the reply to a request for tokens. If Refusal is not empty, there are no
@@ -116,9 +119,12 @@
 }
 
 func encodeTokenRequest(request ebonywood.TokenRequest) *tokensMessage {
-	message := &tokensMessage{Version: protocolVersion, Proxy: request.Proxy(), Allocator: request.Allocator(), Nonce: request.Nonce()}
+	message := &tokensMessage{
+		Version: protocolVersion, Proxy: request.Proxy(), Allocator: request.Allocator(), Nonce: request.Nonce(),
+		Run: request.Run(), Sequence: request.Sequence(),
+	}
 	for _, need := range request.Needs() {
-		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted()})
+		message.Needs = append(message.Needs, needMessage{Workspace: need.Workspace(), Held: need.Held(), Wanted: need.Wanted(), Urgent: need.Urgent()})
 	}
 	return message
 }
@@ -126,9 +132,9 @@
 func (message *tokensMessage) decode() ebonywood.TokenRequest {
 	needs := make([]ebonywood.TokenNeed, 0, len(message.Needs))
 	for _, need := range message.Needs {
-		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted))
+		needs = append(needs, ebonywood.NewTokenNeed(need.Workspace, need.Held, need.Wanted).WithUrgent(need.Urgent))
 	}
-	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs)
+	return ebonywood.NewTokenRequest(message.Proxy, message.Allocator, message.Nonce, needs).WithSequence(message.Run, message.Sequence)
 }
 
 func encodeTokenReply(reply ebonywood.TokenReply) *grantsMessage {
