--- /dev/null
+++ b/internal/balance/balance.go
@@ -0,0 +1,277 @@
+// Package balance implements methods to choose among members or proxies by load figures of
+// which some are old. Many processes choose at the same moment, so a method that always takes
+// the least loaded candidate by the same old figures sends all of them to one candidate.
+package balance
+
+import (
+	"math"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+const (
+	// ownCostMs is the expected wait, in ms, for each own statement in flight.
+	ownCostMs = 9.0
+	// halfLifeMs is the age, in ms, at which an old figure counts half.
+	halfLifeMs = 2000.0
+	// maxCandidates bounds the candidates that are considered, so that a choice needs no
+	// allocation. An instance has three members.
+	maxCandidates = 16
+	// baseCostMs is added to every cost before the weights are computed, so that small
+	// differences between idle candidates do not decide.
+	baseCostMs = 10.0
+)
+
+// aged returns the weight, from 1 to 0, of a figure of this age.
+func aged(age ebonywood.Millis) float64 { return halfLifeMs / (halfLifeMs + float64(max(age, 0))) }
+
+// ownCost returns the cost of a candidate by own figures only: statements in flight and the
+// excess time of own statements.
+func ownCost(candidate ebonywood.LoadCandidate) float64 {
+	return float64(candidate.OwnInFlight())*ownCostMs + candidate.DelayMs()*aged(candidate.DelayAge()) + candidate.FixedMs() + candidate.OpenMs()
+}
+
+// least returns the index of the first candidate with the least cost.
+func least(candidates []ebonywood.LoadCandidate, cost func(ebonywood.LoadCandidate) float64) int {
+	best, leastMs := 0, math.Inf(1)
+	for i, candidate := range candidates {
+		if ms := cost(candidate); ms < leastMs {
+			best, leastMs = i, ms
+		}
+	}
+	return best
+}
+
+// unit maps a random number to [0, 1).
+func unit(random uint64) float64 { return float64(random>>11) / (1 << 53) }
+
+// pick returns an index with a probability proportional to its weight, 0 if all weights are 0.
+func pick(weights []float64, random uint64) int {
+	sum := 0.0
+	for _, weight := range weights {
+		sum += weight
+	}
+	left := unit(random) * sum
+	for i, weight := range weights {
+		if left < weight {
+			return i
+		}
+		left -= weight
+	}
+	return 0
+}
+
+// Least takes the candidate with the least cost by own figures.
+type Least struct{}
+
+// Name returns the name of the method.
+func (Least) Name() string { return "least" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (Least) Choose(candidates []ebonywood.LoadCandidate, _ uint64) int {
+	return least(candidates, ownCost)
+}
+
+// TwoChoices takes the one of two random candidates that has the lesser cost by own figures.
+type TwoChoices struct{}
+
+// Name returns the name of the method.
+func (TwoChoices) Name() string { return "two-choices" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (TwoChoices) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
+	count := uint64(len(candidates))
+	if count < 2 {
+		return 0
+	}
+	first := random % count
+	second := (first + 1 + (random/count)%(count-1)) % count
+	if ownCost(candidates[second]) < ownCost(candidates[first]) {
+		return int(second)
+	}
+	return int(first)
+}
+
+// Aged takes the least loaded candidate by reported figures, each of which ages back to the
+// mean of all reported figures.
+type Aged struct{}
+
+// Name returns the name of the method.
+func (Aged) Name() string { return "aged" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (Aged) Choose(candidates []ebonywood.LoadCandidate, _ uint64) int {
+	mean := meanReported(candidates)
+	return least(candidates, func(candidate ebonywood.LoadCandidate) float64 {
+		return estimate(candidate, mean)*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+	})
+}
+
+func meanReported(candidates []ebonywood.LoadCandidate) float64 {
+	sum := 0.0
+	for _, candidate := range candidates {
+		sum += float64(candidate.Reported())
+	}
+	return sum / float64(len(candidates))
+}
+
+// estimate returns the statements in flight at a candidate: the reported number, aged back to
+// the mean, and at least the own ones. reportHalfLife is shorter than halfLifeMs, since
+// queues change within a few service times.
+func estimate(candidate ebonywood.LoadCandidate, mean float64) float64 {
+	const reportHalfLife = 250.0
+	weight := reportHalfLife / (reportHalfLife + float64(max(candidate.ReportAge(), 0)))
+	return max(mean+(float64(candidate.Reported())-mean)*weight, float64(candidate.OwnInFlight()))
+}
+
+// FreeCapacity takes a random candidate, weighted by its estimated free slots.
+type FreeCapacity struct{}
+
+// Name returns the name of the method.
+func (FreeCapacity) Name() string { return "free-capacity" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (FreeCapacity) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
+	const minFree = 0.25
+	mean := meanReported(candidates)
+	var weights [maxCandidates]float64
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	for i, candidate := range candidates {
+		free := max(minFree, float64(candidate.Slots())-estimate(candidate, mean))
+		weights[i] = free * baseCostMs / (baseCostMs + candidate.FixedMs() + candidate.OpenMs())
+	}
+	return pick(weights[:len(candidates)], random)
+}
+
+// OwnSinceReport takes the least loaded candidate by the reported figure, to which the own
+// statements in flight are added.
+type OwnSinceReport struct{}
+
+// Name returns the name of the method.
+func (OwnSinceReport) Name() string { return "report-plus-own" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (OwnSinceReport) Choose(candidates []ebonywood.LoadCandidate, _ uint64) int {
+	return least(candidates, func(candidate ebonywood.LoadCandidate) float64 {
+		return float64(candidate.Reported()+candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+	})
+}
+
+// Weighted takes a random candidate with a weight that falls with the given power of its cost
+// by own figures.
+type Weighted struct{ power int }
+
+// NewWeighted returns the method with this power.
+func NewWeighted(power int) Weighted { return Weighted{power: power} }
+
+// Name returns the name of the method.
+func (method Weighted) Name() string { return "weighted-" + string(rune('0'+method.power)) }
+
+// Choose implements ebonywood.LoadBalancer.
+func (method Weighted) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
+	var weights [maxCandidates]float64
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	for i, candidate := range candidates {
+		inverse := 1 / (baseCostMs + ownCost(candidate))
+		weights[i] = inverse
+		for range method.power - 1 {
+			weights[i] *= inverse
+		}
+	}
+	return pick(weights[:len(candidates)], random)
+}
+
+// ForMembers returns the method that chooses the member for a read. The comparison in this
+// package's test is why it is this one.
+// It is returned as its own type, so that the compiler sees that a choice keeps nothing and
+// needs no allocation.
+func ForMembers() Times { return NewTimes(4) }
+
+// Times takes a random candidate with a weight that falls with the given power of the time
+// that a further statement is expected to take there: the average time of the own statements,
+// aged back to the mean of all candidates, plus ownCostMs for each own statement in flight.
+type Times struct{ power int }
+
+// NewTimes returns the method with this power.
+func NewTimes(power int) Times { return Times{power: power} }
+
+// Name returns the name of the method.
+func (method Times) Name() string { return "times-" + string(rune('0'+method.power)) }
+
+// Choose implements ebonywood.LoadBalancer.
+func (method Times) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
+	var weights [maxCandidates]float64
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	mean, leastOpen := meanTime(candidates), math.Inf(1)
+	for i, candidate := range candidates {
+		expected := expectedTime(candidate, mean)
+		if candidate.OpenMs() == 0 {
+			leastOpen = min(leastOpen, expected)
+		}
+		inverse := 1 / expected
+		weights[i] = inverse
+		for range method.power - 1 {
+			weights[i] *= inverse
+		}
+	}
+	for i, candidate := range candidates {
+		if candidate.OpenMs() > 0 && expectedTime(candidate, mean) >= leastOpen {
+			weights[i] = 0
+		}
+	}
+	return pick(weights[:len(candidates)], random)
+}
+
+// meanTime returns the mean of the known average times of the candidates, in ms, in which old
+// times have less weight; baseCostMs without any.
+func meanTime(candidates []ebonywood.LoadCandidate) float64 {
+	sum, weights := 0.0, 0.0
+	for _, candidate := range candidates {
+		if candidate.TimeMs() > 0 {
+			weight := aged(candidate.TimeAge())
+			sum, weights = sum+candidate.TimeMs()*weight, weights+weight
+		}
+	}
+	if weights == 0 {
+		return baseCostMs
+	}
+	return sum / weights
+}
+
+// expectedTime returns the time, in ms, that a further statement is expected to take at the
+// candidate.
+func expectedTime(candidate ebonywood.LoadCandidate, mean float64) float64 {
+	time := mean
+	if candidate.TimeMs() > 0 {
+		time += (candidate.TimeMs() - mean) * aged(candidate.TimeAge())
+	}
+	return max(time, 1) + float64(candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+}
+
+// LeastTime takes the candidate with the least expected time, with a random choice between
+// nearly equal ones.
+type LeastTime struct{ marginMs float64 }
+
+// NewLeastTime returns the method, for which expected times that differ by up to marginMs are
+// equal.
+func NewLeastTime(marginMs float64) LeastTime { return LeastTime{marginMs: marginMs} }
+
+// Name returns the name of the method.
+func (LeastTime) Name() string { return "least-time" }
+
+// Choose implements ebonywood.LoadBalancer.
+func (method LeastTime) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
+	var times, weights [maxCandidates]float64
+	candidates = candidates[:min(len(candidates), maxCandidates)]
+	mean, leastMs := meanTime(candidates), math.Inf(1)
+	for i, candidate := range candidates {
+		times[i] = expectedTime(candidate, mean)
+		leastMs = min(leastMs, times[i])
+	}
+	for i := range candidates {
+		if times[i] <= leastMs+method.marginMs {
+			weights[i] = 1
+		}
+	}
+	return pick(weights[:len(candidates)], random)
+}
