Sessions: choose the member for a read by balance.ForMembers

Cause: chooseReader took the first member with the least expected wait. With equal figures that is the first of the list at every proxy.

A read now takes a random member, weighted by its expected time. The pool keeps the ratio of the times of its reads to the expected ones in the place of the excess time, so that a member that is slower by a factor is recognized for short and long reads alike. Members that were tried, are leaving, not readable or lack the floor are left out as before. Members without an idle connection of the workspace are left out unless opening one is expected to be faster; a weight alone would open a connection for one read in eight (ruled out).

The choice allocates nothing (TestChoiceAllocatesNothing). Not measured: a deployment.

--- a/internal/balance/comparison_test.go
+++ b/internal/balance/comparison_test.go
@@ -88,10 +88,10 @@
 }
 
 type simRequest struct {
-	startedAt, enteredAt, rtt float64
-	proxy, member             int
-	read                      bool
-	shape                     int
+	startedAt, rtt float64
+	proxy, member  int
+	read           bool
+	shape          int
 }
 
 type simEvents []simEvent
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -3,23 +3,30 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/balance"
 )
 
 const (
-	// crossZoneCostMs and primaryCostMs are added, in ms, to the expected wait of a
+	// crossZoneCostMs and primaryCostMs are added, in ms, to the expected time at a
 	// member: one for the latency to another availability zone, the other to keep
 	// primaries free for writes.
 	crossZoneCostMs = 6.0
 	primaryCostMs   = 30.0
-	// leasedCostMs is the expected wait, in ms, for each connection to the member that
-	// this process has in use.
-	leasedCostMs = 9.0
-	// newConnectionCostMs is added to the expected wait of a member, in ms, if a connection
+	// newConnectionCostMs is added to the expected time at a member, in ms, if a connection
 	// has to be opened for the workspace, which occupies a slot of the member.
 	newConnectionCostMs = 15.0
+	// maxReaders bounds the members that are considered for a read, so that the choice needs
+	// no allocation.
+	maxReaders = 16
+	// maxSlowness bounds the ratio of a read's time to the expected one, so that one read
+	// that hung does not keep a member out for minutes.
+	maxSlowness = 20.0
+	// slownessWeight is the weight of a new value in the moving average of that ratio.
+	slownessWeight = 0.15
 	// recentWriteWindow is how long after a session's write the session does not read
 	// from replicas whose reported position does not cover the write.
 	recentWriteWindow ebonywood.Millis = 60
@@ -68,59 +75,81 @@
 	return ebonywood.NewFault(ebonywood.KindOverload, message, "send the request again; it was not run")
 }
 
-// chooseReader returns the pool of the member with the shortest expected wait among those
-// that are readable, not leaving, untried and may hold the floor; nil if there is none.
-// For the primary, neither its position nor its reachability is required. recent excludes
-// replicas that are not known to hold the floor. workspace names the workspace of the
-// statement.
+// memberChoice chooses among the members that can run a read.
+var memberChoice = balance.ForMembers()
+
+// chooseReader returns the pool of one of the members that are readable, not leaving, untried
+// and may hold the floor; nil if there is none. memberChoice chooses by the expected time of a
+// read that is expected to take expected. For the primary, neither its position nor its
+// reachability is required. recent excludes replicas that are not known to hold the floor.
+// workspace names the workspace of the statement.
 func (edge *Edge) chooseReader(
 	view *ebonywood.InstanceView, floor ebonywood.Position, recent bool, tried map[ebonywood.MemberID]bool, workspace string,
+	expected time.Duration,
 ) *pool {
-	var best *pool
-	leastMs := 0.0
+	var (
+		pools      [maxReaders]*pool
+		candidates [maxReaders]ebonywood.LoadCandidate
+		count      int
+	)
+	zone := edge.port.Settings().Zone()
 	for _, candidate := range view.Members() {
 		member := candidate.Member()
-		if tried[member.ID()] || !candidate.IsReadable() || member.IsLeaving() {
+		if count == maxReaders || tried[member.ID()] || !candidate.IsReadable() || member.IsLeaving() {
 			continue
 		}
 		pool := edge.pool(view.ID(), member)
 		isPrimary := member.ID() == view.Primary()
-		expectedMs, usable := pool.expectedWait(floor, recent && !isPrimary, workspace)
-		if !usable && !isPrimary {
-			continue
-		}
-		if member.Zone() != edge.port.Settings().Zone() {
-			expectedMs += crossZoneCostMs
+		fixedMs := 0.0
+		if member.Zone() != zone {
+			fixedMs += crossZoneCostMs
 		}
 		if isPrimary {
-			expectedMs += primaryCostMs
+			fixedMs += primaryCostMs
 		}
-		if best == nil || expectedMs < leastMs {
-			best, leastMs = pool, expectedMs
+		load, usable := pool.load(floor, recent && !isPrimary, workspace, fixedMs, expected)
+		if !usable && !isPrimary {
+			continue
 		}
+		pools[count], candidates[count] = pool, load
+		count++
 	}
-	return best
+	if count == 0 {
+		return nil
+	}
+	return pools[memberChoice.Choose(candidates[:count], rand.Uint64())]
 }
 
-// expectedWait returns the expected wait at the member in ms, and whether the member is
-// reachable and may hold the floor; with recent, it must be known to hold the floor. The
-// observed delay decays with its age. An unusable member's expected wait is 0.
-func (pool *pool) expectedWait(floor ebonywood.Position, recent bool, workspace string) (expectedMs float64, usable bool) {
+// load returns what this process knows of the load at the member, and whether the member is
+// reachable and may hold the floor; with recent, it must be known to hold the floor.
+func (pool *pool) load(
+	floor ebonywood.Position, recent bool, workspace string, fixedMs float64, expected time.Duration,
+) (load ebonywood.LoadCandidate, usable bool) {
 	now := pool.edge.now()
+	inFlight := pool.admission.Running()
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
+	load = ebonywood.NewLoadCandidate(inFlight, fixedMs).
+		WithTime(pool.slowness*expected.Seconds()*1000, now-pool.slownessAt)
+	if workspace != "" && !pool.hasIdle(workspace) {
+		load = load.WithOpening(newConnectionCostMs)
+	}
 	if pool.closed || pool.unreachable {
-		return 0, false
+		return load, false
 	}
 	lacksFloor := pool.position.Less(floor)
-	if lacksFloor && (recent || now-pool.laggedAt < laggedPeriod) {
-		return 0, false
-	}
-	ageMs := float64(now - pool.delayAt)
-	decayedMs := pool.delayMs * delayHalfLifeMs / (delayHalfLifeMs + ageMs)
-	expectedMs = float64(pool.admission.Running())*leasedCostMs + decayedMs
-	if workspace != "" && !pool.hasIdle(workspace) {
-		expectedMs += newConnectionCostMs
+	return load, !lacksFloor || (!recent && now-pool.laggedAt >= laggedPeriod)
+}
+
+// recordReadTime updates the moving average of the ratio of the reads' times at the member to
+// the expected ones.
+func (pool *pool) recordReadTime(elapsed, expected time.Duration) {
+	ratio := min(float64(elapsed)/float64(max(expected, time.Microsecond)), maxSlowness)
+	pool.mutex.Lock()
+	defer pool.mutex.Unlock()
+	if pool.slowness == 0 {
+		pool.slowness = ratio
 	}
-	return expectedMs, true
+	pool.slowness += slownessWeight * (ratio - pool.slowness)
+	pool.slownessAt = pool.edge.now()
 }
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -33,8 +33,6 @@
 	// laggedPeriod is how long a replica that lacked a floor is not used for floors
 	// beyond its last reported position.
 	laggedPeriod ebonywood.Millis = 150
-	// delayHalfLifeMs is the age, in ms, at which a member's observed delay counts half.
-	delayHalfLifeMs = 2000.0
 )
 
 // pooledConn is a pooled connection to a member, with the settings and the prepared
@@ -54,7 +52,7 @@
 }
 
 // pool shares the connections to one member among the sessions of this process and
-// tracks the member's reachability, log position and delay.
+// tracks the member's reachability, log position and slowness.
 type pool struct {
 	edge     *Edge
 	instance ebonywood.InstanceID
@@ -85,10 +83,10 @@
 	positionAt ebonywood.Millis
 	// laggedAt is when the member last lacked the floor of a statement.
 	laggedAt ebonywood.Millis
-	// delayMs is the moving average of how much longer than expected reads took, as of
-	// delayAt.
-	delayMs float64
-	delayAt ebonywood.Millis
+	// slowness is the moving average of the ratio of the reads' times to the expected ones,
+	// 0 before the first read, as of slownessAt.
+	slowness   float64
+	slownessAt ebonywood.Millis
 }
 
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
@@ -350,16 +348,6 @@
 	pool.laggedAt = pool.edge.now()
 }
 
-// recordDelay updates the moving average of how much longer than expected reads take at
-// the member. A new value has a weight of 0.15.
-func (pool *pool) recordDelay(elapsed, expected time.Duration) {
-	excessMs := max(0, (elapsed-expected).Seconds()*1000)
-	pool.mutex.Lock()
-	defer pool.mutex.Unlock()
-	pool.delayMs += 0.15 * (excessMs - pool.delayMs)
-	pool.delayAt = pool.edge.now()
-}
-
 func (pool *pool) unavailableFault(reason string) *ebonywood.Fault {
 	return ebonywood.NewFault(ebonywood.KindUnavailable, fmt.Sprintf("%s: %s", pool.member.ID(), reason),
 		"send the request again; it was not run")
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -40,7 +40,7 @@
 		if err != nil {
 			return lostReadReply(err, attempt), outcomeLostRead
 		}
-		lease.pool.recordDelay(time.Since(startedAt), expected)
+		lease.pool.recordReadTime(time.Since(startedAt), expected)
 		if replies[0].Code() == ebonywood.CodeDone {
 			session.edge.countRead(lease.pool)
 		}
@@ -60,8 +60,8 @@
 	}
 }
 
-// runOnReader runs work on members that may hold the floor, in the order of their
-// expected wait, until a reply is final. After a reply with CodeFailed, the next member is
+// runOnReader runs work on members that may hold the floor, chosen by their expected time,
+// until a reply is final. After a reply with CodeFailed, the next member is
 // tried. A member is tried again only after its connection lacked a prepared statement.
 func (session *session) runOnReader(
 	view *ebonywood.InstanceView, attempt *attempt, work func(*lease) (ebonywood.Reply, attemptOutcome),
@@ -74,14 +74,16 @@
 	recent := attempt.asOf-session.lastCommitAt < recentWriteWindow && !session.floor.IsZero()
 	tried := map[ebonywood.MemberID]bool{}
 	reply := failure(ebonywood.CodeBusy, "no member can be reached")
+	readShape := shape(attempt.route, "read")
 	for ; attempt.tries < maxTries && attempt.remaining() > 0; attempt.tries++ {
-		pool := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName())
+		pool := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName(),
+			session.edge.expectedCost(readShape))
 		if pool == nil {
 			return reply
 		}
 		attempt.member = pool.member.ID()
 		tried[attempt.member] = true
-		lease, fault := pool.lease(attempt, shape(attempt.route, "read"))
+		lease, fault := pool.lease(attempt, readShape)
 		if fault != nil {
 			reply = failure(ebonywood.CodeBusy, fault.Message())
 			continue
