Member health: evidence from real reads decides which members to use

Cause: a member whose health check is good may fail 15 to 45% of its reads or leave them unanswered. Reads went on to be sent there, and each one without an answer cost its caller the route's timeout.

internal/memberhealth counts failed, lost and unreachable per member. A failed or lost read counts once another member has answered it, so that a wrong statement is no evidence. A member that was left has a cost and gets trial reads in growing number; one member is always kept. A read at a member that lost one recently ends after 250 ms or eight times the expected time, and is sent to another one. The time of a read counts only if it was answered with DONE: a fast failure attracted reads.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -28,7 +28,7 @@
 // ownCost returns the cost of a candidate by own figures only: statements in flight and the
 // excess time of own statements.
 func ownCost(candidate ebonywood.LoadCandidate) float64 {
-	return float64(candidate.OwnInFlight())*ownCostMs + candidate.DelayMs()*aged(candidate.DelayAge()) + candidate.FixedMs() + candidate.OpenMs()
+	return float64(candidate.OwnInFlight())*ownCostMs + candidate.DelayMs()*aged(candidate.DelayAge()) + candidate.FixedMs() + candidate.AvoidedMs()
 }
 
 // least returns the index of the first candidate with the least cost.
@@ -103,7 +103,7 @@
 func (Aged) Choose(candidates []ebonywood.LoadCandidate, _ uint64) int {
 	mean := meanReported(candidates)
 	return least(candidates, func(candidate ebonywood.LoadCandidate) float64 {
-		return estimate(candidate, mean)*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+		return estimate(candidate, mean)*ownCostMs + candidate.FixedMs() + candidate.AvoidedMs()
 	})
 }
 
@@ -138,7 +138,7 @@
 	candidates = candidates[:min(len(candidates), maxCandidates)]
 	for i, candidate := range candidates {
 		free := max(minFree, float64(candidate.Slots())-estimate(candidate, mean))
-		weights[i] = free * baseCostMs / (baseCostMs + candidate.FixedMs() + candidate.OpenMs())
+		weights[i] = free * baseCostMs / (baseCostMs + candidate.FixedMs() + candidate.AvoidedMs())
 	}
 	return pick(weights[:len(candidates)], random)
 }
@@ -153,7 +153,7 @@
 // Choose implements ebonywood.LoadBalancer.
 func (OwnSinceReport) Choose(candidates []ebonywood.LoadCandidate, _ uint64) int {
 	return least(candidates, func(candidate ebonywood.LoadCandidate) float64 {
-		return float64(candidate.Reported()+candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+		return float64(candidate.Reported()+candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.AvoidedMs()
 	})
 }
 
@@ -202,11 +202,11 @@
 func (method Times) Choose(candidates []ebonywood.LoadCandidate, random uint64) int {
 	var weights [maxCandidates]float64
 	candidates = candidates[:min(len(candidates), maxCandidates)]
-	mean, leastOpen := meanTime(candidates), math.Inf(1)
+	mean, leastDirect := meanTime(candidates), math.Inf(1)
 	for i, candidate := range candidates {
 		expected := expectedTime(candidate, mean)
-		if candidate.OpenMs() == 0 {
-			leastOpen = min(leastOpen, expected)
+		if candidate.AvoidedMs() == 0 {
+			leastDirect = min(leastDirect, expected)
 		}
 		inverse := 1 / expected
 		weights[i] = inverse
@@ -215,7 +215,7 @@
 		}
 	}
 	for i, candidate := range candidates {
-		if candidate.OpenMs() > 0 && expectedTime(candidate, mean) >= leastOpen {
+		if candidate.AvoidedMs() > 0 && expectedTime(candidate, mean) >= leastDirect {
 			weights[i] = 0
 		}
 	}
@@ -245,7 +245,7 @@
 	if candidate.TimeMs() > 0 {
 		time += (candidate.TimeMs() - mean) * aged(candidate.TimeAge())
 	}
-	return max(time, 1) + float64(candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.OpenMs()
+	return max(time, 1) + float64(candidate.OwnInFlight())*ownCostMs + candidate.FixedMs() + candidate.AvoidedMs()
 }
 
 // LeastTime takes the candidate with the least expected time, with a random choice between
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -51,7 +51,7 @@
 // TestOpeningIsAvoided guards against random choices that open a connection at every member for
 // every workspace.
 func TestOpeningIsAvoided(t *testing.T) {
-	opening := ebonywood.NewLoadCandidate(0, 0).WithTime(20, 0).WithOpening(15)
+	opening := ebonywood.NewLoadCandidate(0, 0).WithTime(20, 0).WithAvoidedCost(15)
 	idle, busy := ebonywood.NewLoadCandidate(0, 6).WithTime(20, 0), ebonywood.NewLoadCandidate(4, 6).WithTime(20, 0)
 	require.Zero(t, shares(opening, idle)[0])
 	require.Greater(t, shares(opening, busy)[0], 0.5)
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -82,11 +82,12 @@
 // and may hold the floor; nil if there is none. memberChoice chooses by the expected time of a
 // read that is expected to take expected. For the primary, neither its position nor its
 // reachability is required. recent excludes replicas that are not known to hold the floor.
-// workspace names the workspace of the statement.
+// workspace names the workspace of the statement. isSuspect reports that the read may not be
+// answered there, and that there is a member where it should be.
 func (edge *Edge) chooseReader(
 	view *ebonywood.InstanceView, floor ebonywood.Position, recent bool, tried map[ebonywood.MemberID]bool, workspace string,
 	expected time.Duration,
-) *pool {
+) (chosen *pool, isSuspect bool) {
 	var (
 		pools      [maxReaders]*pool
 		candidates [maxReaders]ebonywood.LoadCandidate
@@ -115,9 +116,13 @@
 		count++
 	}
 	if count == 0 {
-		return nil
+		return nil, false
 	}
-	return pools[memberChoice.Choose(candidates[:count], rand.Uint64())]
+	index, suspects := edge.health.weigh(view.ID(), pools[:count], candidates[:count], edge.now())
+	if index < 0 {
+		index = memberChoice.Choose(candidates[:count], rand.Uint64())
+	}
+	return pools[index], isSuspectAmong(suspects[:count], index)
 }
 
 // load returns what this process knows of the load at the member, and whether the member is
@@ -132,7 +137,7 @@
 	load = ebonywood.NewLoadCandidate(inFlight, fixedMs).
 		WithTime(pool.slowness*expected.Seconds()*1000, now-pool.slownessAt)
 	if workspace != "" && !pool.hasIdle(workspace) {
-		load = load.WithOpening(newConnectionCostMs)
+		load = load.WithAvoidedCost(newConnectionCostMs)
 	}
 	if pool.closed || pool.unreachable {
 		return load, false
--- a/internal/edge/sessions/choice_test.go
+++ b/internal/edge/sessions/choice_test.go
@@ -45,7 +45,7 @@
 	const rounds = 2000
 	var counts [3]int
 	for range rounds {
-		chosen := readers.edge.chooseReader(readers.view, floor, recent, tried, workspace, 20*time.Millisecond)
+		chosen, _ := readers.edge.chooseReader(readers.view, floor, recent, tried, workspace, 20*time.Millisecond)
 		for i, member := range readers.members {
 			if chosen != nil && chosen.member.ID() == member.ID() {
 				counts[i]++
@@ -91,7 +91,8 @@
 	readers.pool(1).recordPosition(ebonywood.NewPosition(1, 8))
 	require.Equal(t, [3]int{100, 0, 0}, readers.shares(floor, true, nil, ""), "a recent write is read only where it is known to be")
 	readers.setReadable(false, false, false)
-	require.Nil(t, readers.edge.chooseReader(readers.view, floor, false, nil, "", time.Millisecond))
+	chosen, _ := readers.edge.chooseReader(readers.view, floor, false, nil, "", time.Millisecond)
+	require.Nil(t, chosen)
 }
 
 // TestReadsUseOpenConnectionsOfTheWorkspace guards against connections that are opened, each at
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/memberhealth"
 )
 
 const (
@@ -40,8 +41,9 @@
 		if err != nil {
 			return lostReadReply(err, attempt), outcomeLostRead
 		}
-		lease.pool.recordReadTime(time.Since(startedAt), expected)
+		// A failure may be fast, which would attract further reads.
 		if replies[0].Code() == ebonywood.CodeDone {
+			lease.pool.recordReadTime(time.Since(startedAt), expected)
 			session.edge.countRead(lease.pool)
 		}
 		return replies[0], outcomeOf(replies[0])
@@ -75,9 +77,11 @@
 	tried := map[ebonywood.MemberID]bool{}
 	reply := failure(ebonywood.CodeBusy, "no member can be reached")
 	readShape := shape(attempt.route, "read")
+	var evidence readEvidence
+	defer func() { evidence.giveUp(attempt) }()
 	for ; attempt.tries < maxTries && attempt.remaining() > 0; attempt.tries++ {
-		pool := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName(),
-			session.edge.expectedCost(readShape))
+		expected := session.edge.expectedCost(readShape)
+		pool, isSuspect := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName(), expected)
 		if pool == nil {
 			return reply
 		}
@@ -85,11 +89,17 @@
 		tried[attempt.member] = true
 		lease, fault := pool.lease(attempt, readShape)
 		if fault != nil {
+			if fault.Kind() == ebonywood.KindUnavailable {
+				session.edge.recordHealth(pool, (*memberhealth.Tracker).Unreachable)
+			}
 			reply = failure(ebonywood.CodeBusy, fault.Message())
 			continue
 		}
+		restoreDeadline := attempt.limitAtSuspect(isSuspect, expected)
 		latest, outcome := work(lease)
+		restoreDeadline()
 		reply = latest
+		evidence.add(pool, reply, outcome)
 		if outcome == outcomeFinal && reply.Code() == ebonywood.CodeFailed {
 			attempt.mayHaveRun = true
 			lease.pool.release(lease, false)
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -56,6 +56,7 @@
 	costMutex sync.Mutex
 	costs     cost.Table
 
+	health   healthBook
 	counters counters
 	gauges   gauges
 
--- a/loadbalance.go
+++ b/loadbalance.go
@@ -6,7 +6,7 @@
 type LoadCandidate struct {
 	ownInFlight int
 	fixedMs     float64
-	openMs      float64
+	avoidedMs   float64
 	delayMs     float64
 	delayAge    Millis
 	timeMs      float64
@@ -22,11 +22,17 @@
 	return LoadCandidate{ownInFlight: ownInFlight, fixedMs: fixedMs, reportAge: -1}
 }
 
-// WithOpening returns a copy with the cost, in ms, of a connection that has to be opened for
-// the statement. A candidate that needs one is taken only if it is expected to be faster than
-// all that need none.
-func (candidate LoadCandidate) WithOpening(openMs float64) LoadCandidate {
-	candidate.openMs = openMs
+// WithFixedCost returns a copy with a further cost, in ms, that does not depend on load.
+func (candidate LoadCandidate) WithFixedCost(costMs float64) LoadCandidate {
+	candidate.fixedMs += costMs
+	return candidate
+}
+
+// WithAvoidedCost returns a copy with a further cost, in ms, that other candidates may not have:
+// that of a connection that has to be opened, or of a member that reads have left. The candidate
+// is taken only if it is expected to be faster than all candidates without such a cost.
+func (candidate LoadCandidate) WithAvoidedCost(costMs float64) LoadCandidate {
+	candidate.avoidedMs += costMs
 	return candidate
 }
 
@@ -57,8 +63,8 @@
 // FixedMs returns the part of the cost that does not depend on load, in ms.
 func (candidate LoadCandidate) FixedMs() float64 { return candidate.fixedMs }
 
-// OpenMs returns the cost of a connection that has to be opened, in ms, 0 if none has to be.
-func (candidate LoadCandidate) OpenMs() float64 { return candidate.openMs }
+// AvoidedMs returns the sum of the costs of WithAvoidedCost, in ms.
+func (candidate LoadCandidate) AvoidedMs() float64 { return candidate.avoidedMs }
 
 // DelayMs returns the average excess time of this process's statements, in ms.
 func (candidate LoadCandidate) DelayMs() float64 { return candidate.delayMs }
