--- a/internal/edge/sessions/choice_test.go
+++ b/internal/edge/sessions/choice_test.go
@@ -105,3 +105,17 @@
 	require.Equal(t, [3]int{0, 0, 100}, readers.shares(ebonywood.Position{}, false, nil, "north"))
 	require.Greater(t, readers.shares(ebonywood.Position{}, false, nil, "south")[1], 30)
 }
+
+// BenchmarkChooseReader measures the choice of a member, which every read pays.
+func BenchmarkChooseReader(b *testing.B) {
+	edge := New(newServingPort())
+	var views []ebonywood.MemberView
+	for _, id := range []ebonywood.MemberID{"m0", "m1", "m2"} {
+		views = append(views, ebonywood.NewMemberView(ebonywood.NewMember(id, "a", string(id), 1, 4, false), ebonywood.NewPosition(1, 1), 0, 0, true))
+	}
+	view := ebonywood.NewInstanceView(db, 1, "m0", false, views, nil)
+	b.ReportAllocs()
+	for b.Loop() {
+		edge.chooseReader(view, ebonywood.Position{}, false, nil, "", 20*time.Millisecond)
+	}
+}
--- a/internal/edge/sessions/peerchoice_test.go
+++ b/internal/edge/sessions/peerchoice_test.go
@@ -124,3 +124,14 @@
 		require.Equal(t, "n2", ranked[3].Name(), "the refusing one is last")
 	}
 }
+
+// BenchmarkRank measures the choice of a proxy, which every forwarded statement pays.
+func BenchmarkRank(b *testing.B) {
+	forwarders := newForwarders()
+	forwarders.servers = append(forwarders.servers, ebonywood.NewPeerView("g1", "c", "g1"), ebonywood.NewPeerView("g2", "c", "g2"),
+		ebonywood.NewPeerView("h1", "d", "h1"), ebonywood.NewPeerView("h2", "d", "h2"))
+	b.ReportAllocs()
+	for b.Loop() {
+		forwarders.edge.rank(forwarders.servers, "")
+	}
+}
