--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -1,16 +1,13 @@
 package sessions
 
 import (
-	"cmp"
 	"math/rand/v2"
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
-	"github.com/ebonywood/ebonywood/internal/spread"
+	"github.com/ebonywood/ebonywood/internal/balance"
 )
 
 // This file implements the sending side of forwarding: if other proxies serve the
@@ -41,9 +38,10 @@
 	}
 	peers := snapshot.Owners().ForInstance(id)
 	if workspace := session.workspace; workspace != nil {
-		return edge.rank(edge.homeOrder(snapshot.ObjectSet(), id, peers, workspace))
+		home, others := edge.homeOrder(snapshot.ObjectSet(), id, peers, workspace)
+		return edge.rank(home, others, balance.OtherProxyCostMs)
 	}
-	return edge.rank(rotated(peers, rand.IntN(len(peers))))
+	return edge.rank(rotated(peers, rand.IntN(len(peers))), nil, 0)
 }
 
 // serversOfTransaction returns the servers for the open transaction's instance as long
@@ -56,63 +54,17 @@
 	return session.servers(tx.route.Instances()[0])
 }
 
-// rotated returns the proxies in an order that starts at an offset, so that the forwarding
-// proxies spread their load.
-func rotated(peers []ebonywood.PeerView, offset int) []ebonywood.PeerView {
-	return append(slices.Clone(peers[offset:]), peers[:offset]...)
-}
-
-// rank orders groups of proxies: within each group those of this availability zone first.
-// Avoided ones come last.
-func (edge *Edge) rank(groups ...[]ebonywood.PeerView) []ebonywood.PeerView {
-	var ranked, avoided []ebonywood.PeerView
-	zone := edge.port.Settings().Zone()
-	for _, group := range groups {
-		var far []ebonywood.PeerView
-		for _, server := range group {
-			switch {
-			case edge.peer(server).isAvoided():
-				avoided = append(avoided, server)
-			case server.Zone() == zone:
-				ranked = append(ranked, server)
-			default:
-				far = append(far, server)
-			}
-		}
-		ranked = append(ranked, far...)
-	}
-	return append(ranked, avoided...)
-}
-
-// homeOrder divides the proxies that serve an instance, in the workspace's rendezvous order,
-// into those on which the workspace's statements run and the others.
-func (edge *Edge) homeOrder(
-	set *ebonywood.ObjectSet, id ebonywood.InstanceID, peers []ebonywood.PeerView, workspace *ebonywood.Workspace,
-) (home, others []ebonywood.PeerView) {
-	connections := defaultConnections
-	if instance, found := set.Instance(id); found && instance.MaxConnections() > 0 {
-		connections = instance.MaxConnections()
-	}
-	ordered := rendezvousOrder(peers, workspace.Name())
-	count := spread.Count(workspace.Rate(), set.TotalRate(), len(peers), shareByWorkspace(connections, len(peers)).maxOpen)
-	return ordered[:count], ordered[count:]
-}
-
-// rendezvousOrder returns the proxies in the rendezvous order of a key.
-func rendezvousOrder(peers []ebonywood.PeerView, key string) []ebonywood.PeerView {
-	ordered := slices.Clone(peers)
-	slices.SortFunc(ordered, func(left, right ebonywood.PeerView) int {
-		return cmp.Compare(xxhash.Sum64String(key+"/"+right.Name()), xxhash.Sum64String(key+"/"+left.Name()))
-	})
-	return ordered
-}
-
 // forward runs a single statement at another proxy. The next proxy is tried if one can't
 // be reached or refuses the statement, or if the reply to a read is lost.
 func (session *session) forward(
 	servers []ebonywood.PeerView, statement ebonywood.Statement, attempt *attempt,
 ) ebonywood.Reply {
 	reply := failure(ebonywood.CodeBusy, "no proxy that serves the instance can be reached")
+	kind := "forward read"
+	if attempt.writes {
+		kind = "forward write"
+	}
+	forwardShape := shape(attempt.route, kind)
 	for _, server := range servers[:min(maxForwardTries, len(servers))] {
 		if attempt.remaining() <= 0 {
 			return reply
@@ -124,8 +76,13 @@
 			continue
 		}
 		peer := session.edge.peer(server)
+		startedAt := time.Now()
 		result, err := peer.exchange(conn, session.newForwardRequest(statement, attempt), attempt.remaining()+replySlack, !attempt.writes)
 		conn.Release(err != nil)
+		elapsed := time.Since(startedAt)
+		if result.Refusal() == "" {
+			peer.recordTime(elapsed, session.edge.expectedCost(forwardShape), err == nil)
+		}
 		switch {
 		case err != nil:
 			if attempt.writes {
@@ -136,6 +93,7 @@
 			peer.recordRefusal(result.Refusal())
 			reply = failure(ebonywood.CodeBusy, result.Refusal())
 		default:
+			session.edge.recordCost(forwardShape, elapsed)
 			return session.applyForwardResult(result)
 		}
 	}
--- a/internal/edge/sessions/ratelimit_test.go
+++ b/internal/edge/sessions/ratelimit_test.go
@@ -123,6 +123,8 @@
 	port := newLimitedPort(0)
 	state := ebonywood.NewSessionState("shop", 3, nil, ebonywood.Position{}, 0).WithWorkspace("w")
 	session := &session{edge: New(port), database: "shop", workspaceName: "w", forwarded: true}
+	// The route sets the session's workspace, as with each operation.
+	_, _, _ = session.route()
 	attempt := session.newAttempt(port.snapshot.ObjectSet().Routes()[0])
 	require.Equal(t, "w", state.Workspace())
 	require.Equal(t, "w", attempt.workspaceName())
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/memberhealth"
 )
 
 const (
@@ -40,8 +41,9 @@
 		if err != nil {
 			return lostReadReply(err, attempt), outcomeLostRead
 		}
-		lease.pool.recordDelay(time.Since(startedAt), expected)
+		// A failure may be fast, which would attract further reads.
 		if replies[0].Code() == ebonywood.CodeDone {
+			lease.pool.recordReadTime(time.Since(startedAt), expected)
 			session.edge.countRead(lease.pool)
 		}
 		return replies[0], outcomeOf(replies[0])
@@ -60,8 +62,8 @@
 	}
 }
 
-// runOnReader runs work on members that may hold the floor, in the order of their
-// expected wait, until a reply is final. After a reply with CodeFailed, the next member is
+// runOnReader runs work on members that may hold the floor, chosen by their expected time,
+// until a reply is final. After a reply with CodeFailed, the next member is
 // tried. A member is tried again only after its connection lacked a prepared statement.
 func (session *session) runOnReader(
 	view *ebonywood.InstanceView, attempt *attempt, work func(*lease) (ebonywood.Reply, attemptOutcome),
@@ -74,20 +76,30 @@
 	recent := attempt.asOf-session.lastCommitAt < recentWriteWindow && !session.floor.IsZero()
 	tried := map[ebonywood.MemberID]bool{}
 	reply := failure(ebonywood.CodeBusy, "no member can be reached")
+	readShape := shape(attempt.route, "read")
+	var evidence readEvidence
+	defer func() { evidence.giveUp(attempt) }()
 	for ; attempt.tries < maxTries && attempt.remaining() > 0; attempt.tries++ {
-		pool := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName())
+		expected := session.edge.expectedCost(readShape)
+		pool, isSuspect := session.edge.chooseReader(view, attempt.floor, recent, tried, attempt.workspaceName(), expected)
 		if pool == nil {
 			return reply
 		}
 		attempt.member = pool.member.ID()
 		tried[attempt.member] = true
-		lease, fault := pool.lease(attempt, shape(attempt.route, "read"))
+		lease, fault := pool.lease(attempt, readShape)
 		if fault != nil {
+			if fault.Kind() == ebonywood.KindUnavailable {
+				session.edge.recordHealth(pool, (*memberhealth.Tracker).Unreachable)
+			}
 			reply = failure(ebonywood.CodeBusy, fault.Message())
 			continue
 		}
+		restoreDeadline := attempt.limitAtSuspect(isSuspect, expected)
 		latest, outcome := work(lease)
+		restoreDeadline()
 		reply = latest
+		evidence.add(pool, reply, outcome)
 		if outcome == outcomeFinal && reply.Code() == ebonywood.CodeFailed {
 			attempt.mayHaveRun = true
 			lease.pool.release(lease, false)
