Rates: one late answer does not set an allocator aside for a second

A request that was late once kept the allocator from being asked for 1 s. A host with a fifth of a core is late at peaks, and with four allocators set aside operations below the limit would be refused. A longer timeout was ruled out: operations wait 150 ms at most.

The pause starts at 100 ms and doubles up to 1.6 s.

--- a/internal/edge/ratelimit/request.go
+++ b/internal/edge/ratelimit/request.go
@@ -11,10 +11,13 @@
 const (
 	// requestTimeout bounds a request to an allocator.
 	requestTimeout = 100 * time.Millisecond
-	// silencePeriod is how long an allocator that did not answer is not asked, refusalPeriod
-	// the same for a process that answered that it is not the allocator.
-	silencePeriod ebonywood.Millis = 1000
+	// refusalPeriod is how long a process that answered that it is not the allocator is not
+	// asked. It is the same for an allocator that did not answer once, since a host that is
+	// short of processor time may be late for one request. It doubles with each further request
+	// without an answer, up to silencePeriod.
 	refusalPeriod ebonywood.Millis = 100
+	silencePeriod ebonywood.Millis = 1600
+	maxDoublings                   = 4
 	// reportDelay is how long after tokens of a workspace near its limit were dealt the proxy
 	// reports at the latest that they are spent, so that others can have them.
 	reportDelay ebonywood.Millis = 200
@@ -35,6 +38,9 @@
 	// Until downUntil the allocator with the nonce down is not asked.
 	down      string
 	downUntil ebonywood.Millis
+	// silences counts the requests since the last answer. It belongs to the goroutine that sends
+	// the requests.
+	silences int
 }
 
 // link returns the link to an allocator and creates it if needed. The mutex is held.
@@ -109,17 +115,26 @@
 	switch {
 	case err != nil:
 		edge.metrics.failed.Inc(1)
-		edge.applyFailure(link, next, silencePeriod)
+		edge.applyFailure(link, next, link.silence())
 	case reply.Refusal() != "":
 		edge.metrics.refused.Inc(1)
 		edge.applyFailure(link, next, refusalPeriod)
 	default:
+		link.silences = 0
 		edge.metrics.answered.Inc(1)
 		edge.applyReply(link, next, reply)
 	}
 	return true
 }
 
+// silence returns how long the allocator is not asked after another request without an answer.
+// Only the goroutine that sends the link's requests calls it.
+func (link *link) silence() ebonywood.Millis {
+	period := min(refusalPeriod<<min(link.silences, maxDoublings), silencePeriod)
+	link.silences++
+	return period
+}
+
 // ask sends a request to the allocator, or serves it here if this process is the allocator.
 func (edge *Edge) ask(ctx context.Context, next exchange) (ebonywood.TokenReply, error) {
 	if next.allocator.Holder() == edge.port.Settings().Name() {
