--- a/internal/edge/sessions/rank.go
+++ b/internal/edge/sessions/rank.go
@@ -88,11 +88,11 @@
 			break
 		}
 		loads[count] = server.load
-		switch {
-		case count > 0 && otherCostMs > 0:
-			loads[count] = server.load.WithAvoidedCost(otherCostMs)
-		case server.tier != servers[0].tier:
-			loads[count] = server.load.WithAvoidedCost(balance.FarProxyCostMs)
+		if server.tier != servers[0].tier {
+			loads[count] = loads[count].WithAvoidedCost(balance.FarProxyCostMs)
+		}
+		if count > 0 {
+			loads[count] = loads[count].WithAvoidedCost(otherCostMs)
 		}
 		count++
 	}
