Rates: no claims while the store does not respond

In an outage that outlasts the leases, every proxy would have claimed the four keys every 1.5 s, and all at once when the store is back. Claims wait until the store responds, and their delays start anew.

The fleet test counts the calls to the store: one renewal a second for each allocator.

--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -43,6 +43,8 @@
 	// limited reports that a workspace has a rate.
 	limited  bool
 	draining bool
+	// unreachable reports that the directory does not respond to this process.
+	unreachable bool
 	// listed is set once the keys of the directory are known.
 	listed     bool
 	allocators []ebonywood.Allocator
@@ -64,8 +66,8 @@
 	return &Allocation{self: self, address: address, count: count, keys: make([]keyState, count), proxies: map[string]bool{self: true}}
 }
 
-// Handle processes the list of allocators, the list of live proxies, a new object set and
-// the request to drain. It returns ClaimAllocator for keys that this proxy has to claim.
+// Handle processes the list of allocators, the list of live proxies, a new object set, changes
+// of the directory's reachability and the request to drain. It returns ClaimAllocator for keys that this proxy has to claim.
 func (allocation *Allocation) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
 	switch event := event.(type) {
 	case ebonywood.ObjectSetApplied:
@@ -75,6 +77,8 @@
 	case ebonywood.ProxyReportsListed:
 		allocation.listed = true
 		allocation.setProxies(event.Reports())
+	case ebonywood.DirectoryReachabilityChanged:
+		allocation.setReachable(event.IsReachable())
 	case ebonywood.DrainRequested:
 		allocation.draining = true
 	case ebonywood.Tick:
@@ -94,9 +98,17 @@
 	allocation.proxies = proxies
 }
 
+// setReachable starts the delays of all claims anew when the directory responds again. In an
+// outage in which all keys end, every proxy would call it again and again otherwise.
+func (allocation *Allocation) setReachable(reachable bool) {
+	allocation.unreachable = !reachable
+	clear(allocation.keys)
+}
+
 // claim returns the claims that are due.
 func (allocation *Allocation) claim(now ebonywood.Millis) []ebonywood.Action {
-	if !allocation.limited || allocation.draining || !allocation.listed || now < settleTime || !allocation.isReachable() {
+	if !allocation.limited || allocation.draining || allocation.unreachable || !allocation.listed ||
+		now < settleTime || !allocation.canBeAsked() {
 		return nil
 	}
 	var actions []ebonywood.Action
@@ -108,8 +120,8 @@
 	return actions
 }
 
-// isReachable reports whether other proxies can ask this one, or there is no other.
-func (allocation *Allocation) isReachable() bool {
+// canBeAsked reports whether other proxies can ask this one, or there is no other.
+func (allocation *Allocation) canBeAsked() bool {
 	return allocation.address != "" || len(allocation.proxies) == 1
 }
 
--- a/internal/decision/allocation/allocation_test.go
+++ b/internal/decision/allocation/allocation_test.go
@@ -96,6 +96,22 @@
 	}
 }
 
+// TestNothingIsClaimedInAnOutage guards against calls of all proxies to a store that does not
+// respond, and against claims of all proxies at once when it is back.
+func TestNothingIsClaimedInAnOutage(t *testing.T) {
+	fleet := newFleet(1)
+	count := 0
+	for _, proxy := range fleet {
+		proxy.Handle(0, ebonywood.NewDirectoryReachabilityChanged(false))
+		require.Empty(t, claims(proxy, 50*settleTime))
+	}
+	for _, proxy := range fleet {
+		proxy.Handle(0, ebonywood.NewDirectoryReachabilityChanged(true))
+		count += len(claims(proxy, 100*settleTime))
+	}
+	require.Equal(t, 4, count)
+}
+
 // TestLeavingProxyClaimsNothing guards against an allocator that ends soon after its start.
 func TestLeavingProxyClaimsNothing(t *testing.T) {
 	for _, proxy := range newFleet(1) {
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -489,7 +489,8 @@
 		lost += refused[workspace]
 	}
 	messages := float64(fleet.messages.Swap(0)) / fleetProxies / duration.Seconds()
-	t.Logf("%s: pressing workspace %.3f of its allowance, others refused %d of %d, %.1f requests per proxy and second", name, served, lost, others, messages)
+	t.Logf("%s: pressing workspace %.3f of its allowance, others refused %d of %d, %.1f requests per proxy and second, %d calls to the store",
+		name, served, lost, others, messages, fleet.store.takeCalls())
 	require.GreaterOrEqual(t, served, least, name)
 	require.LessOrEqual(t, float64(lost)/float64(others), mostRefused, name)
 }
@@ -536,8 +537,10 @@
 		fleet.load(8 * time.Second)
 		fleet.takeCounts()
 		fleet.messages.Store(0)
+		fleet.store.takeCalls()
 		const measured = 20 * time.Second
 		fleet.load(measured)
+		require.LessOrEqual(t, fleet.store.takeCalls(), 4*21, "a renewal a second for each allocator")
 		fleet.requireServed(t, "normal", measured, 0.95, 0.001)
 	})
 }
@@ -705,7 +708,7 @@
 		_, refused := fleet.takeCounts()
 		require.Equal(t, make([]int, fleetWorkspaces), refused)
 		require.Zero(t, fleet.messages.Load())
-		require.Zero(t, fleet.store.calls)
+		require.Zero(t, fleet.store.takeCalls())
 		for _, proxy := range fleet.running() {
 			require.Empty(t, proxy.edge.stocks)
 			require.Empty(t, proxy.edge.claims)
@@ -728,6 +731,15 @@
 	}
 }
 
+// takeCalls returns the number of calls since the last time.
+func (store *memoryStore) takeCalls() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	calls := store.calls
+	store.calls = 0
+	return calls
+}
+
 func (store *memoryStore) setDown(down bool) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
