Rates: one request at a time to an allocator is checked

A trial that removed the wait for the reply before was not noticed by any test, although the allocator would count as spent what an earlier reply in flight deals. The fleet tests count the requests in flight, and the model has the mutation (seed 180).

--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -229,6 +229,9 @@
 func (relay fleetRelay) RequestTokens(ctx context.Context, address string, request ebonywood.TokenRequest) (ebonywood.TokenReply, error) {
 	fleet := relay.proxy.fleet
 	fleet.messages.Add(1)
+	key := fmt.Sprintf("%s/%d", relay.proxy.name, request.Allocator())
+	fleet.addInFlight(key, 1)
+	defer fleet.addInFlight(key, -1)
 	time.Sleep(peerLatency)
 	target := fleet.proxy(address)
 	if relay.proxy.isCut() || target.isCut() {
@@ -258,6 +261,9 @@
 	// refused their numbers since the last takeCounts.
 	spent            [][]time.Duration
 	offered, refused []int
+	// inFlight has the requests in flight by proxy and allocator, mostInFlight the greatest number.
+	inFlight     map[string]int
+	mostInFlight int
 	// waited has the operations that did not find a token at their proxy.
 	waited []int
 }
@@ -274,6 +280,14 @@
 	return nil
 }
 
+// addInFlight counts a request that begins or ends.
+func (fleet *fleet) addInFlight(key string, change int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.inFlight[key] += change
+	fleet.mostInFlight = max(fleet.mostInFlight, fleet.inFlight[key])
+}
+
 // list makes the present keys known to all proxies that are not cut off.
 func (fleet *fleet) list() {
 	if fleet.listing.Swap(true) {
@@ -513,7 +527,7 @@
 		fleet := &fleet{
 			clock: startClock{start: time.Now()}, cut: make([]atomic.Bool, fleetProxies),
 			set:   ebonywood.NewObjectSet(1, "", nil, nil, nil).WithWorkspaces(workspaces),
-			spent: make([][]time.Duration, fleetWorkspaces),
+			spent: make([][]time.Duration, fleetWorkspaces), inFlight: map[string]int{},
 		}
 		fleet.store = &memoryStore{
 			fleet: fleet, items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{},
@@ -527,6 +541,8 @@
 		time.Sleep(2 * time.Second)
 		test(t, fleet)
 		fleet.requireBound(t)
+		// With two, the allocator would count as spent what the reply to the other one deals.
+		require.LessOrEqual(t, fleet.mostInFlight, 1, "requests of a proxy to an allocator at once")
 	})
 }
 
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -46,6 +46,7 @@
 	noTokenLife          mutation = "a proxy's tokens do not expire"
 	lifeFromReply        mutation = "a token's life begins when the reply arrives"
 	returnsReportedSpent mutation = "a token that was reported as spent is returned"
+	concurrentRequests   mutation = "a proxy sends a request before the one before it has ended"
 	noUrgentLife         mutation = "urgent tokens live as long as others"
 	noHeldReport         mutation = "requests do not say what the proxy holds"
 )
@@ -53,7 +54,7 @@
 // mutations has for each mutation the seed of a walk that misses it, which is tried first.
 var mutations = map[mutation]uint64{
 	noLeaseCheck: 7, noPredecessor: 5655, noSettling: 29, noSequence: 2780, lateReplies: 909, noTokenLife: 0, lifeFromReply: 1330,
-	returnsReportedSpent: 387, noUrgentLife: 14, noHeldReport: 0,
+	returnsReportedSpent: 387, noUrgentLife: 14, concurrentRequests: 180, noHeldReport: 0,
 }
 
 // model is a fleet with one workspace.
@@ -298,7 +299,7 @@
 	}
 	to := known[len(known)-1-model.choose(min(2, len(known)))]
 	for _, earlier := range proxy.messages {
-		if earlier.to.listed.Number() == number && !earlier.abandoned {
+		if earlier.to.listed.Number() == number && !earlier.abandoned && model.mutation != concurrentRequests {
 			return
 		}
 	}
