--- a/ratelimit.go
+++ b/ratelimit.go
@@ -116,8 +116,10 @@
 	retryAfter Millis
 }
 
-// NewTokenGrant returns a grant. retryAfter is how long the proxy should wait before it
-// asks for more; 0 if it may ask at once.
+// NewTokenGrant returns a grant, which may have more tokens than were wanted. retryAfter is
+// how long the proxy should wait before it asks for more; 0 if it may ask at once. If it is
+// not 0, the workspace is near its limit, and the proxy reports soon which of the tokens it
+// has spent.
 func NewTokenGrant(workspace string, tokens int, retryAfter Millis) TokenGrant {
 	return TokenGrant{workspace: workspace, tokens: tokens, retryAfter: retryAfter}
 }
