Rates: a test reads its counter under the mutex

The race detector found that the fleet tests read the greatest number of requests in flight while reports were still sent. Only the test was at fault.

--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -542,7 +542,10 @@
 		test(t, fleet)
 		fleet.requireBound(t)
 		// With two, the allocator would count as spent what the reply to the other one deals.
-		require.LessOrEqual(t, fleet.mostInFlight, 1, "requests of a proxy to an allocator at once")
+		fleet.mutex.Lock()
+		most := fleet.mostInFlight
+		fleet.mutex.Unlock()
+		require.LessOrEqual(t, most, 1, "requests of a proxy to an allocator at once")
 	})
 }
 
