--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -229,6 +229,9 @@
 func (relay fleetRelay) RequestTokens(ctx context.Context, address string, request ebonywood.TokenRequest) (ebonywood.TokenReply, error) {
 	fleet := relay.proxy.fleet
 	fleet.messages.Add(1)
+	key := fmt.Sprintf("%s/%d", relay.proxy.name, request.Allocator())
+	fleet.addInFlight(key, 1)
+	defer fleet.addInFlight(key, -1)
 	time.Sleep(peerLatency)
 	target := fleet.proxy(address)
 	if relay.proxy.isCut() || target.isCut() {
@@ -258,6 +261,9 @@
 	// refused their numbers since the last takeCounts.
 	spent            [][]time.Duration
 	offered, refused []int
+	// inFlight has the requests in flight by proxy and allocator, mostInFlight the greatest number.
+	inFlight     map[string]int
+	mostInFlight int
 	// waited has the operations that did not find a token at their proxy.
 	waited []int
 }
@@ -274,6 +280,14 @@
 	return nil
 }
 
+// addInFlight counts a request that begins or ends.
+func (fleet *fleet) addInFlight(key string, change int) {
+	fleet.mutex.Lock()
+	defer fleet.mutex.Unlock()
+	fleet.inFlight[key] += change
+	fleet.mostInFlight = max(fleet.mostInFlight, fleet.inFlight[key])
+}
+
 // list makes the present keys known to all proxies that are not cut off.
 func (fleet *fleet) list() {
 	if fleet.listing.Swap(true) {
@@ -489,7 +503,8 @@
 		lost += refused[workspace]
 	}
 	messages := float64(fleet.messages.Swap(0)) / fleetProxies / duration.Seconds()
-	t.Logf("%s: pressing workspace %.3f of its allowance, others refused %d of %d, %.1f requests per proxy and second", name, served, lost, others, messages)
+	t.Logf("%s: pressing workspace %.3f of its allowance, others refused %d of %d, %.1f requests per proxy and second, %d calls to the store",
+		name, served, lost, others, messages, fleet.store.takeCalls())
 	require.GreaterOrEqual(t, served, least, name)
 	require.LessOrEqual(t, float64(lost)/float64(others), mostRefused, name)
 }
@@ -512,7 +527,7 @@
 		fleet := &fleet{
 			clock: startClock{start: time.Now()}, cut: make([]atomic.Bool, fleetProxies),
 			set:   ebonywood.NewObjectSet(1, "", nil, nil, nil).WithWorkspaces(workspaces),
-			spent: make([][]time.Duration, fleetWorkspaces),
+			spent: make([][]time.Duration, fleetWorkspaces), inFlight: map[string]int{},
 		}
 		fleet.store = &memoryStore{
 			fleet: fleet, items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{},
@@ -526,6 +541,11 @@
 		time.Sleep(2 * time.Second)
 		test(t, fleet)
 		fleet.requireBound(t)
+		// With two, the allocator would count as spent what the reply to the other one deals.
+		fleet.mutex.Lock()
+		most := fleet.mostInFlight
+		fleet.mutex.Unlock()
+		require.LessOrEqual(t, most, 1, "requests of a proxy to an allocator at once")
 	})
 }
 
@@ -536,8 +556,10 @@
 		fleet.load(8 * time.Second)
 		fleet.takeCounts()
 		fleet.messages.Store(0)
+		fleet.store.takeCalls()
 		const measured = 20 * time.Second
 		fleet.load(measured)
+		require.LessOrEqual(t, fleet.store.takeCalls(), 4*21, "a renewal a second for each allocator")
 		fleet.requireServed(t, "normal", measured, 0.95, 0.001)
 	})
 }
@@ -705,7 +727,7 @@
 		_, refused := fleet.takeCounts()
 		require.Equal(t, make([]int, fleetWorkspaces), refused)
 		require.Zero(t, fleet.messages.Load())
-		require.Zero(t, fleet.store.calls)
+		require.Zero(t, fleet.store.takeCalls())
 		for _, proxy := range fleet.running() {
 			require.Empty(t, proxy.edge.stocks)
 			require.Empty(t, proxy.edge.claims)
@@ -728,6 +750,15 @@
 	}
 }
 
+// takeCalls returns the number of calls since the last time.
+func (store *memoryStore) takeCalls() int {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	calls := store.calls
+	store.calls = 0
+	return calls
+}
+
 func (store *memoryStore) setDown(down bool) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
