Rates: eight allocators, tokens of two seconds, own keys claimed at once

A new allocator is held to what its bucket creates for the life of a token.

The fleet test takes the number of allocators from the limit; its bound of a renewal a second for each allocator stays.

--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -31,7 +31,7 @@
 	// claimRetry is the time after which a claim without effect is repeated.
 	claimRetry ebonywood.Millis = 1500
 	// settleTime is how long after the start the list of proxies may be incomplete. Until then
-	// too many proxies would be first in their order.
+	// too many proxies would be first in their order; a proxy claims only its own earlier key.
 	settleTime ebonywood.Millis = 800
 )
 
@@ -107,8 +107,7 @@
 
 // claim returns the claims that are due.
 func (allocation *Allocation) claim(now ebonywood.Millis) []ebonywood.Action {
-	if !allocation.limited || allocation.draining || allocation.unreachable || !allocation.listed ||
-		now < settleTime || !allocation.canBeAsked() {
+	if !allocation.limited || allocation.draining || allocation.unreachable || !allocation.listed || !allocation.canBeAsked() {
 		return nil
 	}
 	var actions []ebonywood.Action
@@ -138,7 +137,7 @@
 	if !state.free {
 		state.free, state.claimAt = true, now
 		if !held {
-			state.claimAt += allocation.delay(number)
+			state.claimAt = max(now, settleTime) + allocation.delay(number)
 		}
 	}
 	if now < state.claimAt {
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -25,6 +25,9 @@
 // and decision; the store is in memory and refuses or loses calls as a test asks for. It guards
 // against operations beyond the bound, and against refusals below the limit.
 
+// fleetAllocators is the default number of allocators.
+var fleetAllocators = ebonywood.Limits{}.Count(ebonywood.LimitRateAllocators)
+
 const (
 	fleetProxies    = 83
 	fleetWorkspaces = 84
@@ -335,7 +338,7 @@
 	for i := range fleetProxies {
 		name := fmt.Sprintf("p%02d", i)
 		proxy := &fleetProxy{
-			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, 4),
+			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, fleetAllocators),
 			snapshot: ebonywood.NewDraft().Publish(), ended: make(chan error, 1),
 		}
 		proxy.edge = New(proxy)
@@ -512,7 +515,7 @@
 // play runs a test on a fleet that has started.
 func play(t *testing.T, test func(t *testing.T, fleet *fleet)) {
 	playWith(t, rateOf, func(t *testing.T, fleet *fleet) {
-		require.Len(t, fleet.allocators(), 4)
+		require.Len(t, fleet.allocators(), fleetAllocators)
 		test(t, fleet)
 	})
 }
@@ -667,7 +670,7 @@
 		require.True(t, former.IsSettled())
 		fleet.end(t, false, func(proxy *fleetProxy) bool { return proxy.name == former.Holder() })
 		time.Sleep(2 * time.Second)
-		require.Len(t, fleet.allocators(), 4)
+		require.Len(t, fleet.allocators(), fleetAllocators)
 		require.NotEqual(t, former.Holder(), fleet.allocators()[0].Holder())
 		require.False(t, fleet.allocators()[0].IsSettled())
 	})
@@ -740,7 +743,7 @@
 func BenchmarkTake(b *testing.B) {
 	workspace := ebonywood.NewWorkspace("w", nil, nil, 0).WithRate(1e9, 1e9)
 	fleet := &fleet{clock: startClock{start: time.Now()}, set: ebonywood.NewObjectSet(1, "", nil, nil, nil)}
-	proxy := &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", 4), snapshot: ebonywood.NewDraft().Publish()}
+	proxy := &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", fleetAllocators), snapshot: ebonywood.NewDraft().Publish()}
 	edge := New(proxy)
 	allocator := ebonywood.NewAllocator(0, "p", "p", "n")
 	edge.stock("w").tokens.Add(0, 0, 1e9, 0, allocator, 1<<40, 0, 0)
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -216,8 +216,12 @@
 		return nil, pool.unavailableFault("the member was withdrawn")
 	}
 	if pool.fullUntil > pool.edge.now() {
-		pool.mutex.Unlock()
-		return nil, pool.fullFault()
+		// An idle connection of another workspace makes room at the member.
+		if len(pool.idle) == 0 {
+			pool.mutex.Unlock()
+			return nil, pool.fullFault()
+		}
+		pool.closeLeastRecentlyUsed()
 	}
 	// After a share became smaller, there may be several connections too many.
 	for pool.open >= pool.share.maxOpen && len(pool.idle) > 0 {
--- a/limits.go
+++ b/limits.go
@@ -89,9 +89,9 @@
 		{LimitRequestLinesPerSecond, "requestLinesPerSecond", LimitCount, 20, 0, 10_000, "log lines about single requests, and as many about refused callers, per second"},
 		{LimitSessionBytes, "sessionBytes", LimitCount, 2_097_152, 1_024, 67_108_864, "bytes of settings and prepared statements that one session may hold"},
 		{LimitSessionMemory, "sessionMemory", LimitShare, 0.15, 0.01, 0.5, "share of the process's memory that the settings and prepared statements of all sessions may take"},
-		{LimitRateAllocators, "rateAllocators", LimitCount, 4, 1, 16, "proxies that each create an equal part of the tokens of workspaces with a rate; must be the same on all proxies"},
+		{LimitRateAllocators, "rateAllocators", LimitCount, 8, 1, 16, "proxies that each create an equal part of the tokens of workspaces with a rate; must be the same on all proxies"},
 		{LimitAllocatorTTL, "allocatorTTL", LimitDuration, 6_000, 1_000, 60_000, "time to live of the lease of an allocator; longer than tokenLife; must be the same on all proxies"},
-		{LimitTokenLife, "tokenLife", LimitDuration, 4_000, 500, 30_000, "how long a token may be spent after the request for it; must be the same on all proxies"},
+		{LimitTokenLife, "tokenLife", LimitDuration, 2_000, 500, 30_000, "how long a token may be spent after the request for it; must be the same on all proxies"},
 	}
 }
 
