Admission: numbered priorities, workspaces, late work

The queue knew two classes, and platform/store maps priorities 0 and 1 to the same one. Usage was summed by route from the beginning of an overload, so that a party that joined later held all slots until it had used as much. The predicted wait counted every earlier statement, so a flood of one workspace got the others refused. Work that waited beyond its latency objective still ran before work that could be in time.

The queue now orders by priority number. Within a priority workspaces, or routes without them, share by weight; a share that had nothing waiting begins with what its priority has reached, is charged what its work really took, and the predicted wait counts of other shares only what they may use before its own turn. Workspaces weigh 4, 2 and 1 by their priority. Weights by configured rate were considered; with equal weights a flooding workspace loses most and small ones lose nothing, and workspaces without a rate need no made-up value.

Statements past their latency objective start after all that may be in time, so statements of priority 0 and 1 may wait until their deadline as before. Others still wait for waitShare of the objective, and are now refused at once at the slot, too, if the predicted wait is longer. A full queue displaces its least urgent statement instead of refusing a more urgent one.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -48,6 +48,32 @@
 func (controller *Controller) Acquire(
 	ctx context.Context, route *ebonywood.Route, shape uint64, expectedCost time.Duration, hasEstimate bool,
 	deadline, waitUntil time.Time,
+) (ticket uint64, wait time.Duration, err error) {
+	work := queue.NewWork(shape, route.Priority(), route.Name(), route.Weight(), expectedCost, deadline.Sub(controller.start))
+	if !hasEstimate {
+		work = work.WithoutEstimate()
+	}
+	return controller.acquire(ctx, work, waitUntil)
+}
+
+// AcquireFor is like Acquire for work with an estimated cost that belongs to a workspace,
+// nil if it belongs to none, and is late if it has not ended by inTimeUntil. Workspaces
+// share the slots by their weight, work without a workspace shares them by its route.
+func (controller *Controller) AcquireFor(
+	ctx context.Context, route *ebonywood.Route, workspace *ebonywood.Workspace, shape uint64, expectedCost time.Duration,
+	inTimeUntil, deadline, waitUntil time.Time,
+) (ticket uint64, wait time.Duration, err error) {
+	work := queue.NewWork(shape, route.Priority(), route.Name(), route.Weight(), expectedCost, deadline.Sub(controller.start)).
+		WithObjective(inTimeUntil.Sub(controller.start))
+	if workspace != nil {
+		work = work.WithWorkspace(workspace.Name(), workspace.Weight())
+	}
+	return controller.acquire(ctx, work, waitUntil)
+}
+
+// acquire waits for a slot for the work until ctx ends or waitUntil has passed.
+func (controller *Controller) acquire(
+	ctx context.Context, work queue.Work, waitUntil time.Time,
 ) (ticket uint64, wait time.Duration, err error) {
 	if ctx.Err() != nil {
 		return 0, 0, ErrTimeout
@@ -55,8 +81,7 @@
 	controller.mutex.Lock()
 	controller.lastTicket++
 	ticket = controller.lastTicket
-	wait, accepted := controller.queue.Push(ticket, shape, route.Name(), route.Weight(), route.IsPaid(),
-		expectedCost, hasEstimate, controller.now(), deadline.Sub(controller.start))
+	wait, accepted := controller.queue.Add(ticket, work, controller.now())
 	if !accepted {
 		controller.mutex.Unlock()
 		return 0, wait, ErrRefused
--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -174,3 +176,38 @@
 		})
 	})
 }
+
+// TestDisplacedWorkIsRefused fills the queue with work of a large priority number. Work that
+// gives way to more urgent work must not wait on until its deadline.
+func TestDisplacedWorkIsRefused(t *testing.T) {
+	const capacity = 4096
+	controller := New(1)
+	_, err := acquire(controller, route("a", true), time.Millisecond, far, far)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var waits sync.WaitGroup
+	refused := make(chan struct{}, capacity)
+	wait := func(priority int) {
+		waits.Go(func() {
+			now := time.Now()
+			_, _, err := controller.AcquireFor(ctx, route("a", false).WithPriority(priority), nil, 1, time.Millisecond,
+				now.Add(far), now.Add(far), now.Add(far))
+			if errors.Is(err, ErrRefused) {
+				refused <- struct{}{}
+			}
+		})
+	}
+	for range capacity {
+		wait(2)
+	}
+	require.Eventually(t, func() bool {
+		controller.mutex.Lock()
+		defer controller.mutex.Unlock()
+		return len(controller.waiters) == capacity
+	}, time.Minute, time.Millisecond)
+	wait(0)
+	<-refused
+	cancel()
+	waits.Wait()
+	require.Empty(t, refused)
+}
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -44,7 +44,8 @@
 // A longer wait would miss the route's latency objective and delay everything queued
 // behind it, whereas after an early refusal the caller can still be served elsewhere.
 // Statements of paid routes, and of routes without a latency objective, wait until their
-// deadline.
+// deadline. Beyond its latency objective a statement delays no other, since it starts after
+// those that can still be in time.
 func (attempt *attempt) waitDeadline(now time.Time) time.Time {
 	return attempt.whileWorkIsAccepted(attempt.objectiveDeadline(now))
 }
@@ -85,6 +86,15 @@
 	return latest
 }
 
+// inTimeUntil returns the end of the route's latency objective, or the deadline if the
+// route has none.
+func (attempt *attempt) inTimeUntil() time.Time {
+	if latencyObjective := attempt.route.Objective().Latency().Duration(); latencyObjective > 0 {
+		return attempt.startedAt.Add(latencyObjective)
+	}
+	return attempt.deadline
+}
+
 // outcomeOf maps a member's reply to the outcome of the attempt.
 func outcomeOf(reply ebonywood.Reply) attemptOutcome {
 	switch reply.Code() {
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -143,7 +143,8 @@
 	}
 	expected := pool.edge.expectedCost(shape)
 	waitUntil := attempt.waitDeadline(time.Now())
-	ticket, wait, err := pool.admission.Acquire(attempt.awaited, attempt.route, shape, expected, true, waitUntil.Add(expected), waitUntil)
+	ticket, wait, err := pool.admission.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, shape, expected,
+		attempt.inTimeUntil(), waitUntil.Add(expected), waitUntil)
 	if err != nil {
 		return 0, pool.overloadFault(wait)
 	}
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -27,18 +27,20 @@
 
 // execute waits for a slot of the member and runs the statements, preceded by those
 // that bring the connection into the session's state. It returns errNoSlot if no slot
-// became free in time. Inside a transaction the wait is bounded by the statement's
+// became free in time, at once if the predicted wait is too long. Inside a transaction the wait is bounded by the statement's
 // deadline rather than by the route's latency objective, since a refusal would lose the
 // work done so far.
 func (lease *lease) execute(session *session, attempt *attempt, statements ...ebonywood.Statement) ([]ebonywood.Reply, error) {
 	slotShape := shape(attempt.route, "slot")
 	expected := lease.pool.edge.expectedCost(slotShape)
 	inTx := session.tx != nil
-	waitUntil, deadline := attempt.waitDeadline(time.Now()), attempt.deadline
+	waitUntil := attempt.waitDeadline(time.Now())
+	deadline := earlier(attempt.deadline, waitUntil.Add(expected))
 	if inTx {
 		waitUntil, deadline = attempt.whileWorkIsAccepted(attempt.deadline), attempt.deadline.Add(maxExpectedCost)
 	}
-	ticket, _, err := lease.pool.slots.Acquire(attempt.awaited, attempt.route, slotShape, expected, true, deadline, waitUntil)
+	ticket, _, err := lease.pool.slots.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, slotShape, expected,
+		attempt.inTimeUntil(), deadline, waitUntil)
 	if err != nil {
 		return nil, errors.CombineErrors(errNoSlot, err)
 	}
@@ -63,6 +65,14 @@
 	return replies, err
 }
 
+// earlier returns the earlier of two times.
+func earlier(left, right time.Time) time.Time {
+	if right.Before(left) {
+		return right
+	}
+	return left
+}
+
 // noSlotReply returns the reply to a statement that was not run for lack of a slot.
 func noSlotReply(state ebonywood.TxState) ebonywood.Reply {
 	return ebonywood.NewFailure(ebonywood.CodeBusy, errNoSlot.Error(), state, ebonywood.Position{})
--- a/workspace.go
+++ b/workspace.go
@@ -54,6 +54,16 @@
 // Priority returns the workspace's priority; 0 is the highest.
 func (workspace *Workspace) Priority() int { return workspace.priority }
 
+// maxWeightShift bounds the weight of a workspace to 1<<maxWeightShift.
+const maxWeightShift = 2
+
+// Weight returns the workspace's share of scarce slots relative to other workspaces: 4, 2
+// and 1 for the priorities 0, 1 and larger ones. So a more urgent workspace gets more, but
+// can't stop the others.
+func (workspace *Workspace) Weight() int {
+	return 1 << max(0, maxWeightShift-max(0, workspace.priority))
+}
+
 // Rate returns how many operations per second the fleet runs for the workspace; 0 means
 // no limit.
 func (workspace *Workspace) Rate() float64 { return workspace.rate }
