--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -149,7 +149,7 @@
 }
 
 // endLease releases the lease as the outcome requires and reports whether the reply is
-// final. A lease that the session's transaction holds is not released.
+// final, since the outcome is or since there is no budget for a retry. A lease that the session's transaction holds is not released.
 func (session *session) endLease(lease *lease, attempt *attempt, outcome attemptOutcome) (done bool) {
 	pool := lease.pool
 	switch outcome {
@@ -160,6 +160,9 @@
 		return true
 	case outcomeBusy:
 		pool.release(lease, false)
+		if !attempt.mayRetry("member") {
+			return true
+		}
 		session.backOff(attempt)
 	case outcomeNotPrimary:
 		pool.release(lease, false)
@@ -176,7 +179,10 @@
 	case outcomeLost:
 		pool.release(lease, true)
 		return true
-	case outcomeLostUnsent, outcomeLostRead:
+	case outcomeLostRead:
+		pool.release(lease, true)
+		return !attempt.mayRetry("member")
+	case outcomeLostUnsent:
 		pool.release(lease, true)
 	}
 	return false
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -133,6 +133,9 @@
 		default:
 			return session.applyForwardResult(result)
 		}
+		if !attempt.mayRetry("proxy") {
+			return reply
+		}
 	}
 	return reply
 }
@@ -270,6 +273,9 @@
 		err = errNoServer
 		peer.recordRefusal(result.Refusal())
 		conn.Release(false)
+		if !attempt.mayRetry("proxy") {
+			break
+		}
 	}
 	return result, err
 }
--- a/internal/edge/sessions/read.go
+++ b/internal/edge/sessions/read.go
@@ -91,6 +91,9 @@
 		if outcome == outcomeFinal && reply.Code() == ebonywood.CodeFailed {
 			attempt.mayHaveRun = true
 			lease.pool.release(lease, false)
+			if !attempt.mayRetry("member") {
+				return reply
+			}
 			continue
 		}
 		if outcome == outcomeUnprepared {
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -266,6 +266,7 @@
 		timeout = min(timeout, (drainDeadline - now).Duration())
 	}
 	startedAt := time.Now()
+	session.edge.retries.earn()
 	awaited := session.awaited
 	if awaited == nil {
 		awaited = session.edge.group.Context()
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -58,6 +58,7 @@
 
 	counters counters
 	gauges   gauges
+	retries  *retryBudget
 
 	replicaReads atomic.Int64
 	primaryReads atomic.Int64
@@ -102,6 +103,7 @@
 		inTransaction: map[*session]struct{}{},
 		counters:      newCounters(port.Metrics(), port.Log(), port.Settings().Limits().Count(ebonywood.LimitRequestLinesPerSecond)),
 		gauges:        gauges{scope: port.Metrics(), byKey: map[string]tally.Gauge{}},
+		retries:       newRetryBudget(),
 	}
 }
 
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -200,7 +200,8 @@
 				ebonywood.TxFailed, ebonywood.Position{})
 		}
 		reply := replies[0]
-		if reply.Code() == ebonywood.CodeBusy && reply.State() == ebonywood.TxOpen && attempt.remaining() > 2*busyBackoff && attempt.tries < maxTries {
+		if reply.Code() == ebonywood.CodeBusy && reply.State() == ebonywood.TxOpen && attempt.remaining() > 2*busyBackoff &&
+			attempt.tries < maxTries && attempt.mayRetry("member") {
 			session.backOff(attempt)
 			continue
 		}
@@ -249,7 +250,8 @@
 }
 
 // sendCommit sends the commit on the transaction's connection, again after a backoff
-// while the member has no free slot, and releases the connection. While writes are stopped,
+// while the member has no free slot, and releases the connection. These retries need no
+// budget: without the commit all work of the transaction would be done again. While writes are stopped,
 // a transaction that wrote is rolled back at once: the member that becomes the primary
 // does not have it.
 func (session *session) sendCommit(statement ebonywood.Statement, attempt *attempt) ebonywood.Reply {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,8 +10,14 @@
 // only for that long.
 //
 // A statement that can no longer end within its latency objective is late. It starts after
-// all statements that may still be in time. When one start in eight went to late statements,
-// they took all that urgent work left to browsing, and 4% of the urgent work became late.
+// all statements of its priority that may still be in time. When it started after those of
+// the other priorities, too, browsing statements that filled the member's own queue made the
+// urgent ones late and then kept them waiting: 2 of 320 in a second were in time.
+//
+// For a while after a statement with a latency objective, those of less urgent priorities
+// leave one of few slots free. Otherwise the next urgent statement finds all slots held by statements
+// that take longer than it may wait: with two slots for each of eight processes and a load of
+// 150%, 80% of the statements of priority 1 were in time without this rule and 92% with it.
 //
 // Long statements get at most half of the slots, rounded down but at least one, so that
 // short ones find a free slot soon. With all but one slot open to long statements, two
@@ -27,8 +33,6 @@
 package queue
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 )
@@ -46,6 +50,16 @@
 	// its latency objective for the statement to count as in time. Costs vary, and with
 	// just the expected cost left about half would end late.
 	lateFactor = 2
+	// urgentPeriod is how long after the arrival of a statement less urgent ones leave a
+	// slot free for the next, in queues of up to maxSlotsToLeave slots. With more, one
+	// becomes free soon, and an idle one costs the less urgent statements more: with four
+	// slots they got 16% of their work done in time instead of 25%.
+	urgentPeriod    = 500 * time.Millisecond
+	maxSlotsToLeave = 3
+	// priorities is how many priorities are told apart for urgentPeriod.
+	priorities = 8
+	// never is later than any time.
+	never time.Duration = 1<<63 - 1
 	// maxWaiting bounds the statements that wait for one member.
 	maxWaiting = 4096
 )
@@ -75,6 +89,11 @@
 	// nextChange is the earliest time at which a waiting statement becomes late or can no
 	// longer meet its deadline.
 	nextChange time.Duration
+	// now is the time of the last call of Add or Evict.
+	now time.Duration
+	// leavesFreeUntil is, by priority, until when statements of it leave a slot free for
+	// more urgent ones.
+	leavesFreeUntil [priorities]time.Duration
 	// displaced holds the tickets that gave way to more urgent ones in a full queue.
 	displaced []uint64
 }
@@ -103,15 +122,16 @@
 // Work describes a statement that needs a slot. Its times are durations since an origin
 // that the caller chooses.
 type Work struct {
-	shape       uint64
-	priority    int
-	party       string
-	isWorkspace bool
-	weight      int
-	cost        time.Duration
-	hasEstimate bool
-	inTimeUntil time.Duration
-	deadline    time.Duration
+	shape        uint64
+	priority     int
+	party        string
+	isWorkspace  bool
+	weight       int
+	cost         time.Duration
+	hasEstimate  bool
+	hasObjective bool
+	inTimeUntil  time.Duration
+	deadline     time.Duration
 }
 
 // NewWork returns work of a shape with an expected cost that must end by the deadline.
@@ -139,7 +159,7 @@
 // WithObjective returns the work with the end of its latency objective, after which it is
 // late.
 func (work Work) WithObjective(inTimeUntil time.Duration) Work {
-	work.inTimeUntil = min(inTimeUntil, work.deadline)
+	work.hasObjective, work.inTimeUntil = true, min(inTimeUntil, work.deadline)
 	return work
 }
 
@@ -177,9 +197,13 @@
 // that are as urgent. If it is full of others, the least urgent one is displaced, which the
 // next call of Evict returns.
 func (queue *Queue) Add(ticket uint64, work Work, now time.Duration) (wait time.Duration, accepted bool) {
+	queue.now = now
 	if !work.hasEstimate {
 		work.cost = queue.usualCost
 	}
+	for priority := max(work.priority, 0) + 1; work.hasObjective && priority < priorities; priority++ {
+		queue.leavesFreeUntil[priority] = now + urgentPeriod
+	}
 	added := &statement{
 		Work: work, ticket: ticket, share: queue.shareOf(&work),
 		long: queue.isLong(work.cost), unseen: !work.hasEstimate, arrived: now,
@@ -229,7 +253,14 @@
 // markLate records whether the statement can still end within its latency objective if it
 // starts now.
 func (statement *statement) markLate(now time.Duration) {
-	statement.late = statement.inTimeUntil < statement.deadline && now+lateFactor*statement.cost > statement.inTimeUntil
+	statement.late = statement.inTimeUntil < statement.deadline && now > statement.lateAfter()
+}
+
+// lateAfter returns the time after which the statement is late unless it has started. At
+// least half of the objective may be spent waiting, since the expected cost includes the
+// wait at an overloaded member.
+func (statement *statement) lateAfter() time.Duration {
+	return statement.inTimeUntil - min(lateFactor*statement.cost, (statement.inTimeUntil-statement.arrived)/2)
 }
 
 // nextChange returns the time after which the statement is late, or misses its deadline if
@@ -239,7 +270,7 @@
 	if statement.late || statement.inTimeUntil >= statement.deadline {
 		return missesAfter
 	}
-	return min(missesAfter, statement.inTimeUntil-lateFactor*statement.cost)
+	return min(missesAfter, statement.lateAfter())
 }
 
 // isLong reports whether a cost is far above the usual one.
@@ -261,6 +292,9 @@
 	if added.long {
 		ahead, slots = queue.longBacklog, queue.maxLongSlots()
 	}
+	if queue.leavesSlot(added) {
+		slots = max(1, min(slots, queue.slots-1))
+	}
 	added.share.ahead = 0
 	for _, queued := range queue.waiting {
 		queued.share.ahead = 0
@@ -332,13 +366,21 @@
 	if queue.busySlots >= queue.slots {
 		return false
 	}
+	if queue.leavesSlot(statement) && queue.busySlots >= queue.slots-1 {
+		return false
+	}
 	if statement.unseen {
 		return queue.slots == 1 || queue.unseenSlots == 0 && queue.busySlots < queue.slots-1
 	}
 	return !statement.long || queue.longSlots < queue.maxLongSlots()
 }
 
-// before orders statements that may be in time before late ones, then by priority, then by
+// leavesSlot reports whether the statement must leave a slot free for more urgent ones.
+func (queue *Queue) leavesSlot(statement *statement) bool {
+	return statement.hasObjective && queue.slots > 1 && queue.slots <= maxSlotsToLeave && queue.now < queue.leavesFreeUntil[min(max(statement.priority, 0), priorities-1)]
+}
+
+// before orders by priority, then statements that may be in time before late ones, then by
 // the usage of their shares, then by sort key.
 func (statement *statement) before(other *statement) bool {
 	if order := statement.comparePriority(other); order != 0 {
@@ -353,13 +395,16 @@
 // comparePriority is negative if the statement comes before the other one whatever their
 // shares have used.
 func (statement *statement) comparePriority(other *statement) int {
-	if statement.late != other.late {
-		if other.late {
-			return -1
-		}
+	switch {
+	case statement.priority != other.priority:
+		return statement.priority - other.priority
+	case statement.late == other.late:
+		return 0
+	case other.late:
+		return -1
+	default:
 		return 1
 	}
-	return cmp.Compare(statement.priority, other.priority)
 }
 
 // start takes a slot for the statement and charges its cost to its share. The usage of all
@@ -404,11 +449,12 @@
 // receive the error early enough to react, and no slot is spent on a reply that nobody
 // waits for. Statements that can no longer end within their latency objective become late.
 func (queue *Queue) Evict(now time.Duration) (tickets []uint64) {
+	queue.now = now
 	tickets, queue.displaced = queue.displaced, nil
 	if now <= queue.nextChange {
 		return tickets
 	}
-	queue.nextChange = math.MaxInt64
+	queue.nextChange = never
 	kept := queue.waiting[:0]
 	for _, statement := range queue.waiting {
 		if now+statement.cost > statement.deadline {
--- a/internal/retry/retry.go
+++ b/internal/retry/retry.go
@@ -23,18 +23,45 @@
 	maxBackoff     = 50 * time.Millisecond
 )
 
-// Budget limits the retries of one route in proportion to its requests. It is not safe
-// for concurrent use. The zero value is a full budget.
+// Budget limits retries in proportion to requests. It is not safe for concurrent use. The
+// zero value is a full budget of creditPerRequest and maxCredit.
 type Budget struct {
 	spent float64
+	// share is the credit of a request and reserve the maximum of the budget; 0 stands for
+	// the constants.
+	share, reserve float64
+}
+
+// NewBudget returns a full budget: share is how many retries each request adds, reserve the
+// maximum of the budget in retries.
+func NewBudget(share, reserve float64) Budget { return Budget{share: share, reserve: reserve} }
+
+func (budget *Budget) credit() float64 {
+	if budget.share == 0 {
+		return creditPerRequest
+	}
+	return budget.share
+}
+
+func (budget *Budget) limit() float64 {
+	if budget.reserve == 0 {
+		return maxCredit
+	}
+	return budget.reserve
 }
 
 // Earn adds the credit of a new request.
-func (budget *Budget) Earn() { budget.spent = max(0, budget.spent-creditPerRequest) }
+func (budget *Budget) Earn() {
+	budget.spent = max(0, budget.spent-budget.credit())
+}
 
 // Spend takes the credit for one retry and reports whether the budget had it.
-func (budget *Budget) Spend() bool {
-	if budget.spent+1 > maxCredit {
+func (budget *Budget) Spend() bool { return budget.SpendLeaving(0) }
+
+// SpendLeaving is like Spend, but leaves at least rest in the budget for more urgent
+// retries.
+func (budget *Budget) SpendLeaving(rest float64) bool {
+	if budget.spent+1+rest > budget.limit() {
 		return false
 	}
 	budget.spent++
