Forwarding: overload is refused where it comes in

Work that a serving proxy refuses costs a hop, a connection between proxies and the serving proxy's processor, and retries bring it again.

The result of a forwarded statement now says if it was refused for lack of capacity and for which predicted wait (field 12 of the result message, absent otherwise; proxies that don't send it are never throttled).

A level by priority, below which an entry refuses all, was ruled out: it refuses small workspaces for a flood of one, and a level that lasts longer than the serving proxy's queue leaves that idle. The reported wait minus its age was, too: under a steady overload it lies at the limit, so that an entry would refuse hardly anything. Sending refused work to the other serving proxies first was left out: they share the members, and each connection to a member belongs to one workspace, so that moving it costs the member a slot.

--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -60,6 +60,8 @@
 	FloorTerm uint64   `cbor:"9,keyasint,omitempty"`
 	Floor     uint64   `cbor:"10,keyasint,omitempty"`
 	CommitAge int64    `cbor:"11,keyasint,omitempty"`
+	// RefusedWait is in milliseconds. Proxies that don't know it ignore it.
+	RefusedWait int64 `cbor:"12,keyasint,omitempty"`
 }
 
 func encodeRequest(request ebonywood.ForwardRequest) *forwardMessage {
@@ -156,7 +158,7 @@
 		Refusal: result.Refusal(), Code: uint8(reply.Code()), Rows: reply.Rows(), Signature: reply.Signature(),
 		Message: reply.Message(), State: uint8(reply.State()), Term: uint64(reply.Position().Term()),
 		Offset: reply.Position().Offset(), FloorTerm: uint64(result.Floor().Term()), Floor: result.Floor().Offset(),
-		CommitAge: int64(result.CommitAge()),
+		CommitAge: int64(result.CommitAge()), RefusedWait: int64(result.RefusedWait()),
 	}
 }
 
@@ -173,7 +175,8 @@
 		reply = ebonywood.NewFailure(code, message.Message, state, position)
 	}
 	floor := ebonywood.NewPosition(ebonywood.Term(message.FloorTerm), message.Floor)
-	return ebonywood.NewForwardResult(reply, floor, ebonywood.Millis(message.CommitAge))
+	return ebonywood.NewForwardResult(reply, floor, ebonywood.Millis(message.CommitAge)).
+		WithRefusedWait(ebonywood.Millis(message.RefusedWait))
 }
 
 // pingMessage is the request and the reply of rpcPing.
--- a/internal/edge/relay/message_test.go
+++ b/internal/edge/relay/message_test.go
@@ -46,6 +46,7 @@
 		ebonywood.NewForwardRefusal("leaving"),
 		ebonywood.NewForwardResult(ebonywood.NewReply([]string{"row"}, "signed", ebonywood.TxOpen, floor), floor, 3),
 		ebonywood.NewForwardResult(ebonywood.NewFailure(ebonywood.CodeLagging, "why", ebonywood.TxFailed, floor), floor, 3),
+		ebonywood.NewForwardResult(ebonywood.NewFailure(ebonywood.CodeBusy, "why", ebonywood.TxIdle, floor), floor, 3).WithRefusedWait(250),
 	} {
 		data, err := wire.Marshal(encodeResult(result))
 		require.NoError(t, err)
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -107,6 +107,9 @@
 func (session *session) forward(
 	servers []ebonywood.PeerView, statement ebonywood.Statement, attempt *attempt,
 ) ebonywood.Reply {
+	if reply, refused := session.refuseAtEntry(attempt); refused {
+		return reply
+	}
 	reply := failure(ebonywood.CodeBusy, "no proxy that serves the instance can be reached")
 	for _, server := range servers[:min(maxForwardTries, len(servers))] {
 		if attempt.remaining() <= 0 {
@@ -131,6 +134,7 @@
 			peer.recordRefusal(result.Refusal())
 			reply = failure(ebonywood.CodeBusy, result.Refusal())
 		default:
+			session.recordAtEntry(attempt, result)
 			return session.applyForwardResult(result)
 		}
 		if !attempt.mayRetry("proxy") {
@@ -180,6 +184,12 @@
 func (session *session) forwardStep(
 	servers []ebonywood.PeerView, statement ebonywood.Statement, attempt *attempt,
 ) ebonywood.Reply {
+	if session.tx.peerConn == nil {
+		if reply, refused := session.refuseAtEntry(attempt); refused {
+			session.markFailed()
+			return reply.WithState(ebonywood.TxFailed)
+		}
+	}
 	result, err := session.exchangeInTransaction(servers, statement, attempt)
 	if err != nil {
 		session.markFailed()
@@ -267,6 +277,7 @@
 			return result, err
 		}
 		if result.Refusal() == "" {
+			session.recordAtEntry(attempt, result)
 			tx.peerConn, tx.peer = conn, peer
 			return result, nil
 		}
--- a/internal/edge/sessions/forward_test.go
+++ b/internal/edge/sessions/forward_test.go
@@ -66,6 +66,8 @@
 	losesReply
 	// hangs sends no reply until the request is interrupted or its timeout has passed.
 	hangs
+	// overloaded replies that the statement was refused for lack of capacity.
+	overloaded
 )
 
 // relay is a fake of the proxies that serve the instance. Each handles its requests by its
@@ -128,6 +130,8 @@
 		return ebonywood.ForwardResult{}, errors.New("i/o timeout")
 	case refuses:
 		return ebonywood.NewForwardRefusal("the proxy is leaving"), nil
+	case overloaded:
+		return ebonywood.NewForwardResult(failure(ebonywood.CodeBusy, "the predicted wait is 400 ms"), ebonywood.Position{}, 0).WithRefusedWait(400), nil
 	}
 	if request.Begin() != ebonywood.VerbOther {
 		conn.inTransaction = true
--- a/internal/edge/sessions/forwarded.go
+++ b/internal/edge/sessions/forwarded.go
@@ -34,7 +34,8 @@
 	}
 	session.mutex.Lock()
 	defer session.mutex.Unlock()
-	return ebonywood.NewForwardResult(reply, session.floor, session.edge.now()-session.lastCommitAt)
+	return ebonywood.NewForwardResult(reply, session.floor, session.edge.now()-session.lastCommitAt).
+		WithRefusedWait(forwarded.refusedWait(reply))
 }
 
 // begin opens the transaction that the request begins, if any, and reports whether the
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -147,6 +147,7 @@
 	ticket, wait, err := pool.admission.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, shape, expected,
 		attempt.inTimeUntil(), waitUntil.Add(expected), waitUntil)
 	if err != nil {
+		attempt.refuse(wait)
 		return 0, pool.overloadFault(wait)
 	}
 	return ticket, nil
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -55,6 +55,8 @@
 	// ends when that proxy no longer waits for the session's requests; nil otherwise.
 	forwarded bool
 	awaited   context.Context
+	// lastAttempt is the attempt of the last statement of a forwarded session.
+	lastAttempt *attempt
 }
 
 // preparedStatement is a prepared statement of a session. Its name on connections
@@ -100,6 +102,9 @@
 	// mayHaveRun reports that an earlier try of a read was sent, and that it failed or its
 	// reply was lost.
 	mayHaveRun bool
+	// refusedWait is the predicted wait for which the statement was refused at a member for
+	// lack of capacity; 0 if it was not.
+	refusedWait ebonywood.Millis
 }
 
 // remaining returns the time until the statement's deadline, or 0 if nobody waits for
@@ -272,11 +277,15 @@
 		awaited = session.edge.group.Context()
 	}
 	workspace, _ := session.access(session.edge.port.Snapshot().ObjectSet(), route)
-	return &attempt{
+	created := &attempt{
 		edge: session.edge, awaited: awaited,
 		route: route, workspace: workspace, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
+	if session.forwarded {
+		session.lastAttempt = created
+	}
+	return created
 }
 
 // resolve sets whether the attempt writes. If the statement executes a prepared one, it
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -59,6 +59,7 @@
 	counters counters
 	gauges   gauges
 	retries  *retryBudget
+	entry    entryLevels
 
 	replicaReads atomic.Int64
 	primaryReads atomic.Int64
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -39,9 +39,10 @@
 	if inTx {
 		waitUntil, deadline = attempt.whileWorkIsAccepted(attempt.deadline), attempt.deadline.Add(maxExpectedCost)
 	}
-	ticket, _, err := lease.pool.slots.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, slotShape, expected,
+	ticket, wait, err := lease.pool.slots.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, slotShape, expected,
 		attempt.inTimeUntil(), deadline, waitUntil)
 	if err != nil {
+		attempt.refuse(wait)
 		return nil, errors.CombineErrors(errNoSlot, err)
 	}
 	if attempt.isTooLateToSend() {
--- a/internal/plugins/purity_test.go
+++ b/internal/plugins/purity_test.go
@@ -14,7 +14,7 @@
 // decisionPackages are the packages of pure control logic. Another front end, or a
 // test with its own clock, must be able to drive them.
 var decisionPackages = []string{
-	"../decision/*", "../router", "../session", "../retry", "../confirmation", "../queue", "../cost", "../rendezvous", "../lending",
+	"../decision/*", "../router", "../session", "../retry", "../confirmation", "../queue", "../cost", "../rendezvous", "../lending", "../throttle",
 }
 
 // allowedImports are the imports that decisions may use, besides internal/rendezvous.
--- a/relay.go
+++ b/relay.go
@@ -100,6 +100,8 @@
 	floor     Position
 	commitAge Millis
 	refusal   string
+	// refusedWait is the predicted wait for which the statement was refused.
+	refusedWait Millis
 }
 
 // NewForwardResult returns the result of a request that was run: its reply, the
@@ -111,6 +113,17 @@
 // NewForwardRefusal returns the result of a request that the proxy did not start.
 func NewForwardRefusal(reason string) ForwardResult { return ForwardResult{refusal: reason} }
 
+// WithRefusedWait returns the result of a statement that was refused for lack of capacity
+// with the wait that was predicted for it.
+func (result ForwardResult) WithRefusedWait(wait Millis) ForwardResult {
+	result.refusedWait = wait
+	return result
+}
+
+// RefusedWait returns the wait that was predicted for the statement if it was refused for
+// lack of capacity; otherwise 0.
+func (result ForwardResult) RefusedWait() Millis { return result.refusedWait }
+
 // Reply returns the reply to the statement.
 func (result ForwardResult) Reply() Reply { return result.reply }
 
