--- a/internal/edge/sessions/overload_test.go
+++ b/internal/edge/sessions/overload_test.go
@@ -310,3 +310,17 @@
 		}
 	})
 }
+
+// TestUrgentRetriesKeepAReserve guards against browsing that uses up the retries which
+// statements of priority 0 need.
+func TestUrgentRetriesKeepAReserve(t *testing.T) {
+	retries := newRetryBudget()
+	for range retryReserve - retryReserveForUrgent {
+		require.True(t, retries.spend(2))
+	}
+	require.False(t, retries.spend(1))
+	for range retryReserveForUrgent {
+		require.True(t, retries.spend(0))
+	}
+	require.False(t, retries.spend(0))
+}
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -145,7 +145,7 @@
 	expected := pool.edge.expectedCost(shape)
 	waitUntil := attempt.waitDeadline(time.Now())
 	ticket, wait, err := pool.admission.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, shape, expected,
-		attempt.inTimeUntil(), waitUntil.Add(expected), waitUntil)
+		attempt.inTimeUntil(), earlier(attempt.deadline, waitUntil.Add(expected)), waitUntil)
 	if err != nil {
 		attempt.refuse(wait)
 		return 0, pool.overloadFault(wait)
