Merge admission under contention, without the slot left for urgent work

Cause: two classes only, equal shares, no bound on retries. Priorities are numbers, workspaces share within them, retries have a budget, slots and connections follow demand, and an entry refuses what the serving proxies refuse.

Left out: that less urgent work leaves one of two or three slots free. The recovery from overload holds without it (TestServiceRecoversFromOverload).

--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -562,7 +562,7 @@
 		fleet.store.takeCalls()
 		const measured = 20 * time.Second
 		fleet.load(measured)
-		require.LessOrEqual(t, fleet.store.takeCalls(), 4*21, "a renewal a second for each allocator")
+		require.LessOrEqual(t, fleet.store.takeCalls(), fleetAllocators*21, "a renewal a second for each allocator")
 		fleet.requireServed(t, "normal", measured, 0.95, 0.001)
 	})
 }
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -44,7 +44,8 @@
 // A longer wait would miss the route's latency objective and delay everything queued
 // behind it, whereas after an early refusal the caller can still be served elsewhere.
 // Statements of paid routes, and of routes without a latency objective, wait until their
-// deadline.
+// deadline. Beyond its latency objective a statement delays no other, since it starts after
+// those that can still be in time.
 func (attempt *attempt) waitDeadline(now time.Time) time.Time {
 	return attempt.whileWorkIsAccepted(attempt.objectiveDeadline(now))
 }
@@ -85,6 +86,15 @@
 	return latest
 }
 
+// inTimeUntil returns the end of the route's latency objective, or the deadline if the
+// route has none.
+func (attempt *attempt) inTimeUntil() time.Time {
+	if latencyObjective := attempt.route.Objective().Latency().Duration(); latencyObjective > 0 {
+		return attempt.startedAt.Add(latencyObjective)
+	}
+	return attempt.deadline
+}
+
 // outcomeOf maps a member's reply to the outcome of the attempt.
 func outcomeOf(reply ebonywood.Reply) attemptOutcome {
 	switch reply.Code() {
@@ -139,7 +149,7 @@
 }
 
 // endLease releases the lease as the outcome requires and reports whether the reply is
-// final. A lease that the session's transaction holds is not released.
+// final, since the outcome is or since there is no budget for a retry. A lease that the session's transaction holds is not released.
 func (session *session) endLease(lease *lease, attempt *attempt, outcome attemptOutcome) (done bool) {
 	pool := lease.pool
 	switch outcome {
@@ -150,6 +160,9 @@
 		return true
 	case outcomeBusy:
 		pool.release(lease, false)
+		if !attempt.mayRetry("member") {
+			return true
+		}
 		session.backOff(attempt)
 	case outcomeNotPrimary:
 		pool.release(lease, false)
@@ -166,7 +179,10 @@
 	case outcomeLost:
 		pool.release(lease, true)
 		return true
-	case outcomeLostUnsent, outcomeLostRead:
+	case outcomeLostRead:
+		pool.release(lease, true)
+		return !attempt.mayRetry("member")
+	case outcomeLostUnsent:
 		pool.release(lease, true)
 	}
 	return false
--- a/internal/edge/sessions/forward.go
+++ b/internal/edge/sessions/forward.go
@@ -59,6 +59,9 @@
 func (session *session) forward(
 	servers []ebonywood.PeerView, statement ebonywood.Statement, attempt *attempt,
 ) ebonywood.Reply {
+	if reply, refused := session.refuseAtEntry(attempt); refused {
+		return reply
+	}
 	reply := failure(ebonywood.CodeBusy, "no proxy that serves the instance can be reached")
 	kind := "forward read"
 	if attempt.writes {
@@ -94,8 +97,12 @@
 			reply = failure(ebonywood.CodeBusy, result.Refusal())
 		default:
 			session.edge.recordCost(forwardShape, elapsed)
+			session.recordAtEntry(attempt, result)
 			return session.applyForwardResult(result)
 		}
+		if !attempt.mayRetry("proxy") {
+			return reply
+		}
 	}
 	return reply
 }
@@ -140,6 +147,12 @@
 func (session *session) forwardStep(
 	servers []ebonywood.PeerView, statement ebonywood.Statement, attempt *attempt,
 ) ebonywood.Reply {
+	if session.tx.peerConn == nil {
+		if reply, refused := session.refuseAtEntry(attempt); refused {
+			session.markFailed()
+			return reply.WithState(ebonywood.TxFailed)
+		}
+	}
 	result, err := session.exchangeInTransaction(servers, statement, attempt)
 	if err != nil {
 		session.markFailed()
@@ -227,12 +240,16 @@
 			return result, err
 		}
 		if result.Refusal() == "" {
+			session.recordAtEntry(attempt, result)
 			tx.peerConn, tx.peer = conn, peer
 			return result, nil
 		}
 		err = errNoServer
 		peer.recordRefusal(result.Refusal())
 		conn.Release(false)
+		if !attempt.mayRetry("proxy") {
+			break
+		}
 	}
 	session.returnToken(attempt)
 	return result, err
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -71,6 +71,7 @@
 	open    int
 	dialing int
 	share   connectionShare
+	lent    lentLimits
 	closed  bool
 	// unreachable reports that new connections to the member fail.
 	unreachable bool
@@ -92,7 +93,7 @@
 func newPool(edge *Edge, instance ebonywood.InstanceID, member ebonywood.Member) *pool {
 	return &pool{
 		edge: edge, instance: instance, member: member,
-		admission: admission.New(1), slots: admission.New(minSlots), share: connectionShare{maxOpen: minConnections},
+		admission: admission.New(1), slots: admission.New(minSlots), lent: newLentLimits(),
 		interruptible: map[*pooledConn]struct{}{},
 	}
 }
@@ -141,8 +142,10 @@
 	}
 	expected := pool.edge.expectedCost(shape)
 	waitUntil := attempt.waitDeadline(time.Now())
-	ticket, wait, err := pool.admission.Acquire(attempt.awaited, attempt.route, shape, expected, true, waitUntil.Add(expected), waitUntil)
+	ticket, wait, err := pool.admission.AcquireFor(attempt.awaited, attempt.route, attempt.workspace, shape, expected,
+		attempt.inTimeUntil(), earlier(attempt.deadline, waitUntil.Add(expected)), waitUntil)
 	if err != nil {
+		attempt.refuse(wait)
 		return 0, pool.overloadFault(wait)
 	}
 	return ticket, nil
@@ -224,7 +227,7 @@
 		pool.closeLeastRecentlyUsed()
 	}
 	// After a share became smaller, there may be several connections too many.
-	for pool.open >= pool.share.maxOpen && len(pool.idle) > 0 {
+	for pool.open >= pool.lent.connections.Value() && len(pool.idle) > 0 {
 		pool.closeLeastRecentlyUsed()
 	}
 	pool.open++
@@ -246,6 +249,7 @@
 	pool.open--
 	if fault.Kind() == ebonywood.KindOverload {
 		pool.fullUntil = pool.edge.now() + fullBackoff
+		pool.lent.connections.Refused(pool.edge.now().Duration())
 	}
 	pool.resize()
 	pool.mutex.Unlock()
@@ -257,7 +261,7 @@
 }
 
 // resize sets the admission limit to the established connections plus one that may be
-// opened, and at most to the share's maxOpen. Beyond openAtOnce, requests open no more
+// opened, and at most to what is lent, which established ones may exceed. Beyond openAtOnce, requests open no more
 // than one at a time, since opening a connection occupies a slot of the member. Up to
 // there they open as many as they need: after a start all callers come at once. While the
 // member has no connection left, none is opened. The mutex is held.
@@ -267,7 +271,8 @@
 		pool.admission.Resize(max(1, established))
 		return
 	}
-	pool.admission.Resize(min(pool.share.maxOpen, max(established+1, pool.share.openAtOnce)))
+	limit := max(pool.lent.connections.Value(), established)
+	pool.admission.Resize(min(limit, max(established+1, pool.share.openAtOnce)))
 }
 
 // release ends a lease and records its cost. A broken connection is closed and the
@@ -301,12 +306,12 @@
 // trim applies this process's share of the member's connections and slots. Connections
 // above the share's keepOpen are closed once they exceed the idle limit.
 func (pool *pool) trim(share connectionShare, slots int) {
-	pool.slots.Resize(slots)
+	pool.lendSlots(slots)
 	pool.mutex.Lock()
 	defer pool.mutex.Unlock()
 	now := pool.edge.now()
 	maxIdle := pool.edge.limits.Millis(ebonywood.LimitIdleConnection)
-	pool.share = share
+	pool.lendConnections(share)
 	pool.resize()
 	for len(pool.idle) > 0 && pool.open > share.keepOpen && now-pool.idle[0].lastUsedAt > maxIdle {
 		pool.idle[0].memberConn.Close()
--- a/internal/edge/sessions/session.go
+++ b/internal/edge/sessions/session.go
@@ -59,6 +59,8 @@
 	// ends when that proxy no longer waits for the session's requests; nil otherwise.
 	forwarded bool
 	awaited   context.Context
+	// lastAttempt is the attempt of the last statement of a forwarded session.
+	lastAttempt *attempt
 }
 
 // preparedStatement is a prepared statement of a session. Its name on connections
@@ -106,6 +108,9 @@
 	mayHaveRun bool
 	// hasToken reports that the attempt has taken the token of its operation.
 	hasToken bool
+	// refusedWait is the predicted wait for which the statement was refused at a member for
+	// lack of capacity; 0 if it was not.
+	refusedWait ebonywood.Millis
 }
 
 // remaining returns the time until the statement's deadline, or 0 if nobody waits for
@@ -274,15 +279,20 @@
 		timeout = min(timeout, (drainDeadline - now).Duration())
 	}
 	startedAt := time.Now()
+	session.edge.retries.earn()
 	awaited := session.awaited
 	if awaited == nil {
 		awaited = session.edge.group.Context()
 	}
-	return &attempt{
+	created := &attempt{
 		edge: session.edge, awaited: awaited,
 		route: route, workspace: session.workspace, startedAt: startedAt, asOf: now, deadline: startedAt.Add(timeout), forwarded: session.forwarded,
 		waitShare: session.edge.limits.Share(ebonywood.LimitWaitShare),
 	}
+	if session.forwarded {
+		session.lastAttempt = created
+	}
+	return created
 }
 
 // resolve sets whether the attempt writes. If the statement executes a prepared one, it
--- a/internal/edge/sessions/sessions.go
+++ b/internal/edge/sessions/sessions.go
@@ -59,6 +59,8 @@
 	health   healthBook
 	counters counters
 	gauges   gauges
+	retries  *retryBudget
+	entry    entryLevels
 
 	replicaReads atomic.Int64
 	primaryReads atomic.Int64
@@ -103,6 +105,7 @@
 		inTransaction: map[*session]struct{}{},
 		counters:      newCounters(port.Metrics(), port.Log(), port.Settings().Limits().Count(ebonywood.LimitRequestLinesPerSecond)),
 		gauges:        gauges{scope: port.Metrics(), byKey: map[string]tally.Gauge{}},
+		retries:       newRetryBudget(),
 	}
 }
 
