Memory of clients bounded by one budget; time limits and bounds for connections

internal/memorybudget counts bytes by purpose (a message that is read, one that is run or a reply not yet taken, what a session keeps), each with a part of its own, so that half messages can't keep those waiting that would free memory. Messages up to 4 KiB draw nothing; no timer is set unless a message is not in the read buffer as a whole. It also bounds the connections in start-up, from other proxies and to the pages, the time for a message and for a reply, and the buffers of the system. The PostgreSQL front no longer holds a member's slot while a caller without TLS does not read, and bounds the prepared statements of a session to 2 MiB.

Messages of over 16 MiB (of 1/16 of the budget, if less) are refused in PostgreSQL, where 64 MiB were the bound.

Ruled out: one part of the budget for all purposes (whole messages wait for half ones); an eviction by each waiting draw (all connections went at once); closing by age only.

Fuzz: FuzzObservedReader (sizes and splits), FuzzFrameMeter.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,8 @@
 	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./internal/limitsfile
 	$(GO) test -run xxx -fuzz FuzzStatement -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzReader -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run xxx -fuzz FuzzObservedReader -fuzztime $(FUZZTIME) ./platform/line
+	$(GO) test -run xxx -fuzz FuzzFrameMeter -fuzztime $(FUZZTIME) ./internal/clientguard
 	$(GO) test -run xxx -fuzz FuzzReply -fuzztime $(FUZZTIME) ./platform/line
 	$(GO) test -run xxx -fuzz FuzzParse -fuzztime $(FUZZTIME) ./platform/settings
 	$(GO) test -run xxx -fuzz FuzzDecode -fuzztime $(FUZZTIME) ./platform/store
--- a/fault.go
+++ b/fault.go
@@ -32,6 +32,10 @@
 	// KindDenied is a failed authentication. From a Dialer it means that another
 	// member than the expected one responded.
 	KindDenied
+	// KindTooLarge is a message beyond what one connection may hold. It was not run.
+	KindTooLarge
+	// KindNoMemory is a message for which the process has no memory. It was not run.
+	KindNoMemory
 )
 
 // SQLSTATE codes that the proxy itself issues.
@@ -45,6 +49,8 @@
 	sqlStateConflict    = "40001"
 	sqlStateUnavailable = "08001"
 	sqlStateDenied      = "28P01"
+	sqlStateTooLarge    = "54000"
+	sqlStateNoMemory    = "53200"
 )
 
 // SQLState returns the SQLSTATE code that a caller receives for the kind.
@@ -66,6 +72,10 @@
 		return sqlStateUnavailable
 	case KindDenied:
 		return sqlStateDenied
+	case KindTooLarge:
+		return sqlStateTooLarge
+	case KindNoMemory:
+		return sqlStateNoMemory
 	default:
 		return sqlStateInternal
 	}
@@ -90,6 +100,10 @@
 		return "unavailable"
 	case KindDenied:
 		return "denied"
+	case KindTooLarge:
+		return "tooLarge"
+	case KindNoMemory:
+		return "noMemory"
 	default:
 		return "internal"
 	}
--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -86,8 +86,14 @@
 func configureRuntime(config settings.Settings) {
 	runtime.GOMAXPROCS(max(1, config.Cores()))
 	debug.SetGCPercent(gcPercent)
-	if config.MemoryMB() > 0 {
-		debug.SetMemoryLimit(int64(heapLimitShare * float64(config.MemoryMB()*bytesPerMB)))
+	limitHeap(config.MemoryMB())
+}
+
+// limitHeap sets the memory limit of the Go runtime from that of the process in MB; 0 leaves
+// it as it is. The rest is for what the runtime does not count, such as the program itself.
+func limitHeap(memoryMB int64) {
+	if memoryMB > 0 {
+		debug.SetMemoryLimit(int64(heapLimitShare * float64(memoryMB*bytesPerMB)))
 	}
 }
 
--- a/internal/command/proxy.go
+++ b/internal/command/proxy.go
@@ -1,6 +1,9 @@
 package command
 
 import (
+	"math"
+	"runtime/debug"
+
 	"github.com/spf13/cobra"
 
 	"github.com/ebonywood/ebonywood/internal/kernel"
@@ -23,6 +26,11 @@
 			if err != nil {
 				return err
 			}
+			// A negative value only reads the limit, which GOMEMLIMIT sets.
+			if limit := debug.SetMemoryLimit(-1); settings.MemoryMB() == 0 && limit != math.MaxInt64 {
+				settings = settings.WithMemoryMB(limit / bytesPerMB)
+			}
+			limitHeap(settings.MemoryMB())
 			meter := metrics.New()
 			defer meter.Close()
 			log := newLog(settings.Name())
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -17,6 +17,7 @@
 	"github.com/sourcegraph/conc/panics"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/credentials"
 	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/invariant"
@@ -33,11 +34,6 @@
 }
 
 const (
-	// startUpTimeout bounds the time from accepting a connection to the end of its
-	// start-up and authentication.
-	startUpTimeout = 10 * time.Second
-	// writeTimeout bounds one write to a caller that doesn't read.
-	writeTimeout = 30 * time.Second
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 50 * time.Millisecond
 	// drainPollInterval is how often a draining edge checks for remaining sessions.
@@ -48,6 +44,8 @@
 type Edge struct {
 	port     ebonywood.Port
 	listener net.Listener
+	// guard holds the limits for callers.
+	guard *clientguard.Guard
 	// tls is nil if the settings name no certificate.
 	tls *tls.Config
 
@@ -75,7 +73,7 @@
 			fmt.Sprintf("cannot listen for callers at %s: %v", address, err), "set callerAddress to a free port of this host")
 	}
 	edge := &Edge{
-		port: port, listener: listener, sessions: map[uint32]*callerSession{},
+		port: port, listener: listener, guard: clientguard.New(port, "callers", port.Settings().MaxCallers()), sessions: map[uint32]*callerSession{},
 		budgets: map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return edge, edge.loadSecurity()
@@ -193,12 +191,12 @@
 // serveConn runs the session of one caller on its connection.
 func (edge *Edge) serveConn(ctx context.Context, socket net.Conn) {
 	defer socket.Close()
-	_ = socket.SetDeadline(time.Now().Add(startUpTimeout))
-	session := &callerSession{edge: edge, socket: socket}
+	session := &callerSession{edge: edge, socket: socket, limits: edge.guard.Accept(socket)}
+	defer session.limits.Close()
 	if !session.startUp(ctx) {
 		return
 	}
-	_ = session.socket.SetDeadline(time.Time{})
+	session.limits.Started()
 	defer edge.removeSession(session)
 	session.serveRequests(ctx)
 }
--- a/internal/edge/caller/request.go
+++ b/internal/edge/caller/request.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// maxRequestSize bounds the messages before a Sync, in bytes.
-	maxRequestSize = 64 << 20
 	// maxPreparedStatements bounds the prepared statements of one session.
 	maxPreparedStatements = 1024
+	// maxStatementsSize bounds the prepared statements of one session, in bytes.
+	maxStatementsSize = 2 << 20
 	// preparedNamePrefix is the prefix of the names of prepared statements at targets.
 	preparedNamePrefix = "ew_"
 )
@@ -26,6 +26,8 @@
 // caller gave them. The zero value is empty.
 type preparedStatements struct {
 	byName map[string]preparedStatement
+	// size is the memory that they take, in bytes.
+	size int64
 }
 
 // preparedStatement is one prepared statement of a session. Its fields after the first
@@ -75,10 +77,16 @@
 func (caller *callerSession) readRequest() (*callerRequest, error) {
 	request := &callerRequest{access: ebonywood.AccessRead}
 	for {
+		if len(request.body) > 0 && caller.frames.Buffered() == 0 && caller.limits != nil {
+			caller.limits.MessageBegun()
+		}
 		message, err := caller.frames.Next()
 		if err != nil {
 			return nil, err
 		}
+		if err := caller.limits.MessageRead(len(request.body) + len(message)); err != nil {
+			return nil, err
+		}
 		switch message[0] {
 		case frame.Terminate:
 			return nil, nil
@@ -91,10 +99,6 @@
 		if err := caller.addMessage(request, message); err != nil {
 			return nil, err
 		}
-		if len(request.body) > maxRequestSize {
-			return nil, ebonywood.NewFault(ebonywood.KindBadInput,
-				fmt.Sprintf("more than %d bytes before a Sync", maxRequestSize), "send a Sync after each statement")
-		}
 	}
 }
 
@@ -168,11 +172,39 @@
 	if isSetting(parse.Query) {
 		statement.setting, statement.access = parse.Query, ebonywood.AccessRead
 	}
+	if err := caller.keepStatement(name, statement.size()-caller.statements.byName[name].size()); err != nil {
+		return err
+	}
 	caller.statements.byName[name] = statement
 	request.addStatement(statement)
 	return request.addPlaceholder(true)
 }
 
+// statementOverhead is added to the text of each prepared statement, in bytes.
+const statementOverhead = 256
+
+// size returns the memory that the statement takes, in bytes; 0 for the zero value.
+func (statement preparedStatement) size() int64 {
+	if statement.shared.Name() == "" {
+		return 0
+	}
+	return int64(len(statement.shared.Parse()) + len(statement.setting) + statementOverhead)
+}
+
+// keepStatement accounts for the growth, in bytes, of what the session keeps for a statement.
+func (caller *callerSession) keepStatement(name string, growth int64) error {
+	if growth > 0 && caller.statements.size+growth > maxStatementsSize {
+		return ebonywood.NewFault(ebonywood.KindTooLarge, fmt.Sprintf("the prepared statements of the session exceed %d bytes", maxStatementsSize),
+			"close statements that are no longer used")
+	}
+	if !caller.limits.Keep(growth) {
+		return ebonywood.NewFault(ebonywood.KindNoMemory, fmt.Sprintf("the prepared statement %q finds no memory", name),
+			"close statements that are no longer used, or connect to another proxy")
+	}
+	caller.statements.size += growth
+	return nil
+}
+
 // addStatement adds a prepared statement that the request uses, and combines its
 // properties with those of the request.
 func (request *callerRequest) addStatement(statement preparedStatement) {
@@ -250,6 +282,9 @@
 		return malformed(err)
 	}
 	if message.ObjectType == 'S' {
+		if err := caller.keepStatement(message.Name, -caller.statements.byName[message.Name].size()); err != nil {
+			return err
+		}
 		delete(caller.statements.byName, message.Name)
 		return request.addPlaceholder(false)
 	}
--- a/internal/edge/caller/session.go
+++ b/internal/edge/caller/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/frame"
 	"github.com/ebonywood/ebonywood/internal/invariant"
 	"github.com/ebonywood/ebonywood/internal/retry"
@@ -19,6 +21,9 @@
 	// maxIdleOutputSize bounds the capacity, in bytes, of the output buffer that a
 	// session keeps between two writes.
 	maxIdleOutputSize = 4 << 10
+	// maxPendingSize bounds the part of a reply, in bytes, that waits for the caller while the
+	// rest is still received.
+	maxPendingSize = 2 << 20
 )
 
 // callerSession is the session of one caller. It belongs to one goroutine, except
@@ -26,6 +31,7 @@
 type callerSession struct {
 	edge   *Edge
 	socket net.Conn
+	limits *clientguard.Conn
 	frames *frame.Reader
 	// pid and secret authenticate cancel requests for the session.
 	pid      uint32
@@ -70,17 +76,23 @@
 		if err := caller.serveRequest(ctx, request); err != nil {
 			return
 		}
+		caller.frames.Release()
+		caller.limits.Release()
 		if !caller.endRequest() {
 			return
 		}
 	}
 }
 
-// rejectInput sends an error for invalid input; other read errors, such as a closed
-// connection, send nothing.
+// rejectInput sends an error for invalid input and for a limit that was met; other read
+// errors, such as a closed connection, send nothing.
 func (caller *callerSession) rejectInput(err error) {
-	fault := ebonywood.FaultOf(err)
-	if fault.Kind() == ebonywood.KindBadInput {
+	if fault := caller.limits.ReadFailed(err); fault != nil {
+		caller.sendFatal(fault)
+		return
+	}
+	switch fault := ebonywood.FaultOf(err); fault.Kind() {
+	case ebonywood.KindBadInput, ebonywood.KindTooLarge, ebonywood.KindNoMemory:
 		caller.sendFatal(fault)
 	}
 }
@@ -110,7 +122,7 @@
 	defer caller.mutex.Unlock()
 	if !caller.busy && !caller.closing {
 		caller.closing = true
-		_ = caller.socket.SetReadDeadline(time.Unix(1, 0))
+		caller.limits.StopReading()
 	}
 	caller.closing = true
 }
@@ -291,13 +303,12 @@
 }
 
 // flush writes the output buffer to the caller. It fails if the caller doesn't read
-// within writeTimeout.
+// within the time limit for writes.
 func (caller *callerSession) flush() error {
 	if len(caller.output) == 0 {
 		return nil
 	}
-	_ = caller.socket.SetWriteDeadline(time.Now().Add(writeTimeout))
-	_, err := caller.socket.Write(caller.output)
+	err := caller.limits.Write(caller.socket, caller.output)
 	caller.output = caller.output[:0]
 	if cap(caller.output) > maxIdleOutputSize {
 		caller.output = nil
@@ -305,6 +316,18 @@
 	return err
 }
 
+// flushSome writes as much of the output buffer as the caller takes at once, so that a caller
+// that doesn't read does not hold a slot of a member. A write to a TLS connection can't be
+// continued after it was cut short, so it waits.
+func (caller *callerSession) flushSome() error {
+	if _, encrypted := caller.socket.(*tls.Conn); encrypted || len(caller.output) > maxPendingSize {
+		return caller.flush()
+	}
+	rest, err := caller.limits.TryWrite(caller.output)
+	caller.output = append(caller.output[:0], rest...)
+	return err
+}
+
 // recordMetrics records the request's latency and outcome in the metrics and in the
 // route's service level. A request that is refused as bad input, by the target or by this
 // proxy, does not lower the service level.
--- a/internal/edge/caller/sink.go
+++ b/internal/edge/caller/sink.go
@@ -32,8 +32,11 @@
 	inTransaction bool
 	// closeForParse is that of the request, without the replies already relayed.
 	closeForParse []bool
-	// outputStart is the offset of this reply in the session's output buffer.
+	// outputStart is the offset in the session's output buffer of what may still be discarded
+	// of this reply.
 	outputStart int
+	// pending is how much of the reply the caller had not taken at the last attempt.
+	pending int
 	// holding is set while the reply is held back for the confirmation.
 	holding bool
 	// relayed is set when a part of the reply was written to the caller.
@@ -80,16 +83,26 @@
 		return nil
 	}
 	sink.caller.output = append(sink.caller.output, message...)
-	if len(sink.caller.output) < flushThreshold || sink.holding && len(sink.caller.output) < maxHeldSize {
+	if len(sink.caller.output) < max(flushThreshold, 2*sink.pending) || sink.holding && len(sink.caller.output) < maxHeldSize {
 		return nil
 	}
-	return sink.flushOutput()
+	return sink.streamOutput()
+}
+
+// streamOutput writes as much of the buffered reply as the caller takes; the request can't be
+// retried afterwards.
+func (sink *sink) streamOutput() error {
+	sink.relayed = true
+	err := sink.caller.flushSome()
+	sink.pending = len(sink.caller.output)
+	sink.outputStart = sink.pending
+	return err
 }
 
 // flushOutput writes the buffered reply; the request can't be retried afterwards.
 func (sink *sink) flushOutput() error {
 	sink.relayed = true
-	sink.outputStart = 0
+	sink.outputStart, sink.pending = 0, 0
 	return sink.caller.flush()
 }
 
@@ -144,6 +157,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := sink.caller.limits.MessageRead(len(message)); err != nil {
+			return nil, err
+		}
 		switch message[0] {
 		case frame.CopyData, frame.CopyDone, frame.CopyFail:
 			return message, nil
--- a/internal/edge/caller/startup.go
+++ b/internal/edge/caller/startup.go
@@ -36,7 +36,7 @@
 	for {
 		body, err := readStartUp(caller.socket)
 		if err != nil {
-			caller.sendFatal(err)
+			caller.rejectInput(err)
 			return false
 		}
 		switch binary.BigEndian.Uint32(body) {
@@ -100,6 +100,7 @@
 		return false
 	}
 	caller.frames = frame.NewReader(caller.socket)
+	caller.frames.Observe(caller.limits)
 	if err := caller.authenticate(message.Parameters["user"]); err != nil {
 		caller.sendFatal(err)
 		return false
--- a/internal/edge/operator/operator.go
+++ b/internal/edge/operator/operator.go
@@ -9,11 +9,11 @@
 	"fmt"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/registry"
 )
 
@@ -65,10 +65,10 @@
 	if source, ok := edge.port.(metricsSource); ok {
 		mux.Handle("GET /metrics", source.MetricsHandler())
 	}
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	server := clientguard.NewPageServer(mux)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(edge.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(clientguard.LimitPage(edge.port, "operators", edge.listener)); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
 	return nil
--- a/internal/edge/peer/peer.go
+++ b/internal/edge/peer/peer.go
@@ -16,6 +16,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/objectfile"
 	"github.com/ebonywood/ebonywood/internal/peerlink"
@@ -92,7 +93,7 @@
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	edge.group.Go(func(context.Context) error {
-		return drpcserver.New(handler{edge}).Serve(serving, edge.listener)
+		return drpcserver.New(handler{edge}).Serve(serving, edge.limitedListener())
 	})
 	select {
 	case <-ctx.Done():
@@ -104,6 +105,11 @@
 	return edge.group.Wait()
 }
 
+// limitedListener returns the listener with the limits for other proxies.
+func (edge *Edge) limitedListener() net.Listener {
+	return clientguard.ListenForPeers(edge.port, edge.listener)
+}
+
 // drain waits until no other proxy uses a connection of this one.
 func (edge *Edge) drain() {
 	start := edge.port.Clock().Now()
--- a/internal/edge/relay/relay.go
+++ b/internal/edge/relay/relay.go
@@ -19,6 +19,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/peerlink"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -82,7 +83,7 @@
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	edge.group.Go(func(context.Context) error {
-		return drpcserver.New(handler{edge}).Serve(serving, edge.listener)
+		return drpcserver.New(handler{edge}).Serve(serving, edge.limitedListener())
 	})
 	edge.group.Every(idleTimeout/2, func(context.Context) { edge.closeExpired() })
 	select {
@@ -96,6 +97,11 @@
 	return edge.group.Wait()
 }
 
+// limitedListener returns the listener with the limits for other proxies.
+func (edge *Edge) limitedListener() net.Listener {
+	return clientguard.ListenForPeers(edge.port, edge.listener)
+}
+
 func (edge *Edge) drain() {
 	start := time.Now()
 	limit := edge.port.Settings().DrainLimit().Duration()
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -63,6 +63,8 @@
 type Reader struct {
 	source *bufio.Reader
 	frame  []byte
+	// meter observes the reading; nil for none.
+	meter ebonywood.MessageMeter
 }
 
 // NewReader returns a reader of the messages in source.
@@ -70,10 +72,25 @@
 	return &Reader{source: bufio.NewReaderSize(source, readBufferSize)}
 }
 
+// Observe makes a meter observe the messages that are not in the read buffer as a whole, and
+// lets it end the reading.
+func (reader *Reader) Observe(meter ebonywood.MessageMeter) { reader.meter = meter }
+
+// Release drops a large buffer. The bytes of the last message must not be used afterwards.
+func (reader *Reader) Release() {
+	if cap(reader.frame) > maxKeptBuffer {
+		reader.frame = nil
+	}
+}
+
 // Next returns the next message with its header. The bytes are valid until the
 // next call. The error is a fault of KindBadInput for an invalid length, else that of
 // the source.
 func (reader *Reader) Next() ([]byte, error) {
+	if _, err := reader.source.Peek(1); err != nil {
+		return nil, err
+	}
+	reader.announce(HeaderSize)
 	header, err := reader.source.Peek(HeaderSize)
 	if err != nil {
 		return nil, err
@@ -84,9 +101,17 @@
 			fmt.Sprintf("a message has an invalid length of %d bytes", length),
 			fmt.Sprintf("send messages of at most %d bytes", MaxSize))
 	}
+	reader.announce(int(length) + 1)
 	return reader.read(int(length) + 1)
 }
 
+// announce tells the meter if reading size bytes has to wait.
+func (reader *Reader) announce(size int) {
+	if reader.meter != nil && reader.source.Buffered() < size {
+		reader.meter.MessageBegun()
+	}
+}
+
 // read returns a message of size bytes, including the header.
 func (reader *Reader) read(size int) ([]byte, error) {
 	if cap(reader.frame) > maxKeptBuffer && size <= maxKeptBuffer {
@@ -110,9 +135,17 @@
 func (reader *Reader) readLarge(size int) ([]byte, error) {
 	reader.frame = reader.frame[:0]
 	for len(reader.frame) < size {
-		step := min(size-len(reader.frame), max(len(reader.frame), maxKeptBuffer))
 		start := len(reader.frame)
-		reader.frame = append(reader.frame, make([]byte, step)...)
+		if start == cap(reader.frame) {
+			grown := min(size, max(2*start, maxKeptBuffer))
+			if reader.meter != nil {
+				if err := reader.meter.GrowMessage(grown); err != nil {
+					return nil, err
+				}
+			}
+			reader.frame = append(make([]byte, 0, grown), reader.frame...)
+		}
+		reader.frame = reader.frame[:min(size, cap(reader.frame))]
 		if _, err := io.ReadFull(reader.source, reader.frame[start:]); err != nil {
 			return nil, err
 		}
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -23,8 +23,10 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/burn"
+	"github.com/ebonywood/ebonywood/internal/clientguard"
 	"github.com/ebonywood/ebonywood/internal/clock"
 	"github.com/ebonywood/ebonywood/internal/invariant"
+	"github.com/ebonywood/ebonywood/internal/memorybudget"
 	"github.com/ebonywood/ebonywood/internal/metrics"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -64,6 +66,7 @@
 	checker           invariant.Checker
 	serviceLevels     burn.Ledger
 	appliedGeneration uint64
+	memoryBudget      *memorybudget.Budget
 }
 
 // published is a snapshot and a channel that is closed when the next snapshot
@@ -85,6 +88,8 @@
 		log:      log,
 		metrics:  metrics,
 		events:   make(chan ebonywood.Event, eventQueueSize),
+
+		memoryBudget: clientguard.NewBudget(settings),
 	}
 	kernel.checker.OnViolation(kernel.reportViolation)
 	for _, name := range decisions {
@@ -325,6 +330,9 @@
 // MetricsHandler returns the HTTP handler that a Prometheus server scrapes.
 func (kernel *Kernel) MetricsHandler() http.Handler { return kernel.metrics.Handler() }
 
+// MemoryBudget returns the memory that all clients of the process share.
+func (kernel *Kernel) MemoryBudget() *memorybudget.Budget { return kernel.memoryBudget }
+
 // Settings returns the process's checked settings.
 func (kernel *Kernel) Settings() ebonywood.Settings { return kernel.settings }
 
--- a/internal/settingsfile/settingsfile.go
+++ b/internal/settingsfile/settingsfile.go
@@ -44,6 +44,7 @@
 	primarySilence    ebonywood.Millis
 	maxCallers        int
 	drainLimit        ebonywood.Millis
+	memoryMB          int64
 }
 
 var _ ebonywood.Settings = Settings{}
@@ -97,6 +98,7 @@
 		primarySilence:  fields.Duration("primarySilence", defaultPrimarySilence),
 		maxCallers:      fields.Number("maxCallers", defaultMaxCallers, 1),
 		drainLimit:      fields.Duration("drainLimit", 0),
+		memoryMB:        int64(fields.Number("memoryLimit", 0, 0)),
 	}
 	if settings.name == "" {
 		fields.ReportFault(0, "name", "is missing", "give each proxy a unique name")
@@ -226,6 +228,15 @@
 // MaxCallers returns the maximum number of connected callers.
 func (settings Settings) MaxCallers() int { return settings.maxCallers }
 
+// MemoryMB returns the memory limit of the process in MB; 0 if the file has none.
+func (settings Settings) MemoryMB() int64 { return settings.memoryMB }
+
+// WithMemoryMB returns the settings with another memory limit.
+func (settings Settings) WithMemoryMB(memoryMB int64) Settings {
+	settings.memoryMB = memoryMB
+	return settings
+}
+
 // DrainLimit returns the maximum duration of a graceful shutdown; 0 waits until every
 // transaction has ended.
 func (settings Settings) DrainLimit() ebonywood.Millis { return settings.drainLimit }
--- a/limits.go
+++ b/limits.go
@@ -22,6 +22,15 @@
 	LimitRequestLinesPerSecond
 	LimitSessionBytes
 	LimitSessionMemory
+	LimitClientMemory
+	LimitConnectionMemory
+	LimitMemoryWait
+	LimitStartUpShare
+	LimitStartTimeout
+	LimitMessageTimeout
+	LimitWriteTimeout
+	LimitPeerShare
+	LimitOperatorConnections
 	numLimits
 )
 
@@ -86,6 +95,15 @@
 		{LimitRequestLinesPerSecond, "requestLinesPerSecond", LimitCount, 20, 0, 10_000, "log lines about single requests, and as many about refused callers, per second"},
 		{LimitSessionBytes, "sessionBytes", LimitCount, 2_097_152, 1_024, 67_108_864, "bytes of settings and prepared statements that one session may hold"},
 		{LimitSessionMemory, "sessionMemory", LimitShare, 0.15, 0.01, 0.5, "share of the process's memory that the settings and prepared statements of all sessions may take"},
+		{LimitClientMemory, "clientMemory", LimitShare, 0.25, 0.05, 0.6, "share of the process's memory that messages of clients and other proxies, before and while they run, and replies not yet taken may hold"},
+		{LimitConnectionMemory, "connectionMemory", LimitCount, 67_108_864, 8_388_608, 1_073_741_824, "bytes that one connection may hold of that; at most a quarter of it in any case"},
+		{LimitMemoryWait, "memoryWait", LimitDuration, 500, 10, 10_000, "how long a message waits for memory before the connection that holds most and moves least is closed"},
+		{LimitStartUpShare, "startUpShare", LimitShare, 0.25, 0.01, 1, "share of the caller connections that may be in start-up; a further one closes the oldest of them"},
+		{LimitStartTimeout, "startTimeout", LimitDuration, 10_000, 2_000, 60_000, "how long a caller's start-up may take"},
+		{LimitMessageTimeout, "messageTimeout", LimitDuration, 30_000, 10_000, 600_000, "how long a message may take from its first byte to its last"},
+		{LimitWriteTimeout, "writeTimeout", LimitDuration, 10_000, 1_000, 600_000, "how long a client may take for each 64 KiB of a reply"},
+		{LimitPeerShare, "peerShare", LimitShare, 0.5, 0.05, 1, "connections from other proxies, as a share of the maximum number of caller connections"},
+		{LimitOperatorConnections, "operatorConnections", LimitCount, 64, 4, 10_000, "connections to the operators' page, and as many to the readiness probe"},
 	}
 }
 
