--- a/test/hostile/crowd_test.go
+++ b/test/hostile/crowd_test.go
@@ -178,9 +178,20 @@
 // TestNodeFront guards the callers' front of `ebonywood node`, and with it the line reader,
 // against crowds of hostile callers.
 func TestNodeFront(t *testing.T) {
+	for _, crowd := range nodeCrowds() {
+		t.Run(crowd.name, func(t *testing.T) {
+			node := startNode(t)
+			crowd.address = node.front
+			crowd.run(t, node)
+		})
+	}
+}
+
+// nodeCrowds returns the crowds of hostile callers of the line protocol.
+func nodeCrowds() []crowd {
 	legal := lineQuery(mebibyte - 2)
 	readLarge := "QUERY crowd READ " + largeItem + "\r\n"
-	for _, crowd := range []crowd{
+	return []crowd{
 		{name: "legalWhole", clients: 150, behave: sendOnly(lineStart + legal + "\r\n"), askAfterwards: true},
 		{name: "legalPieces", clients: 150, behave: sendPieces(lineStart + legal + "\r\n"), askAfterwards: true},
 		{name: "legalHalf", clients: 150, behave: sendPieces(lineStart + legal)},
@@ -193,12 +204,6 @@
 		{name: "slowRead", clients: 200, behave: readSlowly(lineStart, readLarge, 2000)},
 		{name: "silent", clients: 600, behave: silent},
 		{name: "halfStart", clients: 600, behave: sendOnly("STAR")},
-	} {
-		t.Run(crowd.name, func(t *testing.T) {
-			node := startNode(t)
-			crowd.address = node.front
-			crowd.run(t, node)
-		})
 	}
 }
 
@@ -222,6 +227,17 @@
 // TestProxyFront guards the callers' front of `ebonywood proxy` against the same crowds in
 // PostgreSQL's protocol, and against batches that no Sync ends.
 func TestProxyFront(t *testing.T) {
+	for _, crowd := range proxyCrowds() {
+		t.Run(crowd.name, func(t *testing.T) {
+			proxy := startProxy(t)
+			crowd.address = proxy.front
+			crowd.run(t, proxy)
+		})
+	}
+}
+
+// proxyCrowds returns the crowds of hostile callers of PostgreSQL's protocol.
+func proxyCrowds() []crowd {
 	legal := postgresQuery(mebibyte)
 	tooLarge := postgresQuery(24 * mebibyte)
 	readLarge := message('Q', "select v from orders where k = '"+largeItem+"'\x00")
@@ -232,7 +248,7 @@
 	for number := range 16 {
 		statements.WriteString(parse(number) + message('S', ""))
 	}
-	for _, crowd := range []crowd{
+	return []crowd{
 		{name: "legalWhole", clients: 150, behave: sendOnly(postgresStart + legal), askAfterwards: true},
 		{name: "legalPieces", clients: 150, behave: sendPieces(postgresStart + legal), askAfterwards: true},
 		{name: "legalHalf", clients: 150, behave: sendPieces(postgresStart + legal[:len(legal)-100])},
@@ -245,12 +261,6 @@
 		{name: "slowRead", clients: 200, behave: readSlowly(postgresStart, readLarge, 2000)},
 		{name: "silent", clients: 600, behave: silent},
 		{name: "halfStart", clients: 600, behave: sendOnly(postgresStart[:11])},
-	} {
-		t.Run(crowd.name, func(t *testing.T) {
-			proxy := startProxy(t)
-			crowd.address = proxy.front
-			crowd.run(t, proxy)
-		})
 	}
 }
 
@@ -266,7 +276,7 @@
 	half := peerMessage(mebibyte)
 	half = half[:len(half)-100]
 	large := peerMessage(4*mebibyte - 100)
-	for program, start := range map[string]func(*testing.T) *target{"node": startNode, "proxy": startProxy} {
+	for program, start := range map[string]func(testing.TB) *target{"node": startNode, "proxy": startProxy} {
 		for _, crowd := range []crowd{
 			{name: "largeHalf", clients: 100, behave: sendPieces(large[:len(large)-100])},
 			{name: "messageHalf", clients: 150, behave: sendPieces(half)},
--- a/test/hostile/process_test.go
+++ b/test/hostile/process_test.go
@@ -37,6 +37,10 @@
 	pollInterval = 50 * time.Millisecond
 )
 
+// processMemoryMB and processDescriptors are the limits in the settings of the processes.
+// Only measurements change them.
+var processMemoryMB, processDescriptors = memoryMB, maxDescriptors
+
 func TestMain(m *testing.M) { os.Exit(binary.Run(m)) }
 
 // process is a running proxy.
@@ -67,7 +71,7 @@
 }
 
 // startProcess runs the binary until the test ends.
-func startProcess(t *testing.T, environment []string, arguments ...string) *process {
+func startProcess(t testing.TB, environment []string, arguments ...string) *process {
 	process := &process{command: exec.Command(binary.Path, arguments...), exited: make(chan struct{}), output: &lockedBuffer{}}
 	process.command.Env = append(append(os.Environ(), "EBONYWOOD_STRICT=1"), environment...)
 	process.command.Stdout, process.command.Stderr = process.output, process.output
@@ -120,7 +124,7 @@
 }
 
 // eventually calls try until it succeeds, for at most patience.
-func eventually(t *testing.T, what string, try func() error) {
+func eventually(t testing.TB, what string, try func() error) {
 	t.Helper()
 	var err error
 	for deadline := time.Now().Add(patience); time.Now().Before(deadline); time.Sleep(pollInterval) {
@@ -135,7 +139,7 @@
 var reservedAddresses sync.Map
 
 // freeAddress returns an address on host with a free port, each only once.
-func freeAddress(t *testing.T, host string) string {
+func freeAddress(t testing.TB, host string) string {
 	for {
 		listener, err := net.Listen("tcp", host+":0")
 		require.NoError(t, err)
--- a/test/hostile/target_test.go
+++ b/test/hostile/target_test.go
@@ -51,7 +51,7 @@
 }
 
 // startNode starts `ebonywood node` before the stand-in of the platform.
-func startNode(t *testing.T) *target {
+func startNode(t testing.TB) *target {
 	platform, err := standin.New([]string{"a", "b", "c"}, 3, "alpha")
 	require.NoError(t, err)
 	t.Cleanup(platform.Close)
@@ -70,7 +70,7 @@
 		"listen-addrs.frontend=" + host + ":7001", "listen-addrs.ready=" + host + ":7002", "listen-addrs.control=" + host + ":7003",
 		"platform.address=" + platform.Address(), "cloud.address=" + platform.Address(),
 		"bounds.grace-s=4", "platform.min-ttl-ms=500",
-		fmt.Sprintf("limits.memory-mb=%d", memoryMB), fmt.Sprintf("limits.max-fds=%d", maxDescriptors),
+		fmt.Sprintf("limits.memory-mb=%d", processMemoryMB), fmt.Sprintf("limits.max-fds=%d", processDescriptors),
 	}, "\n")), 0o600))
 	node := &target{
 		process: startProcess(t, []string{"EBONYWOOD_NODE_FILE=" + settings}, "node"),
@@ -148,7 +148,7 @@
 
 // startProxy starts `ebonywood proxy` before the stand-ins of its platform and of a member.
 // The limit of its memory is that of the Go runtime.
-func startProxy(t *testing.T) *target {
+func startProxy(t testing.TB) *target {
 	host := loopback.NewHost()
 	platform, member := freeAddress(t, host), freeAddress(t, host)
 	startProcess(t, nil, "standin", "platform", "--listen", platform)
@@ -166,8 +166,8 @@
 	settings := filepath.Join(t.TempDir(), "proxy.yaml")
 	require.NoError(t, os.WriteFile(settings, fmt.Appendf(nil, "name: p0\nzone: z1\ncallerAddress: %q\noperatorAddress: %q\npeerAddress: %q\n"+
 		"maxCallers: %d\nplatform:\n  addresses: [\"http://%s\"]\n",
-		proxy.front, proxy.operators, proxy.peers, maxDescriptors/2, platform), 0o600))
-	proxy.process = startProcess(t, []string{fmt.Sprintf("GOMEMLIMIT=%dMiB", memoryMB)}, "proxy", "--settings", settings)
+		proxy.front, proxy.operators, proxy.peers, processDescriptors/2, platform), 0o600))
+	proxy.process = startProcess(t, []string{fmt.Sprintf("GOMEMLIMIT=%dMiB", processMemoryMB)}, "proxy", "--settings", settings)
 	proxy.ask = func() error { return askPostgres(proxy.front, "select v from orders where k = $1", "item") }
 	eventually(t, "the first request", func() error {
 		return askPostgres(proxy.front, "insert into orders (k, v) values ($1, $2)", largeItem, strings.Repeat("v", largeValueSize))
