--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,10 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP := $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+# The crowds of test/hostile run apart from the load of the other tests.
 test:
-	$(GO) test $(SKIP) ./...
+	$(GO) test $(SKIP) $$($(GO) list ./... | grep -v /test/hostile)
+	$(GO) test $(SKIP) ./test/hostile
 
 # Tests in which the race detector of arm64 itself crashes ("ThreadSanitizer: CHECK
 # failed"). They run without it in 'make test', and with it on other machines.
