Client guard: a started connection does not count as waiting

A connection whose start-up arrived in parts stayed marked as waiting in the budget. While its message was run, it could be chosen to be closed, was rightly left alone, and was chosen again in the place of those that do wait. Started ends the mark. Found by reading; TestStartedConnectionIsNotChosen is for it.

--- a/internal/clientguard/clientguard_test.go
+++ b/internal/clientguard/clientguard_test.go
@@ -116,6 +116,19 @@
 	require.Zero(t, guard.budget.Held())
 }
 
+// TestStartedConnectionIsNotChosen guards evictions: a connection whose start-up arrived in
+// parts, and whose message is run now, was chosen again and again in the place of others.
+func TestStartedConnectionIsNotChosen(t *testing.T) {
+	guard := newGuard()
+	client, socket := net.Pipe()
+	defer client.Close()
+	conn := guard.Accept(socket)
+	conn.MessageBegun()
+	conn.Started()
+	require.NoError(t, conn.MessageRead(1<<20))
+	require.Nil(t, guard.budget.Heaviest(time.Now().UnixNano(), memorybudget.Work))
+}
+
 // TestLimitsOfOneMessage guards the default that a message of 1 MiB is served on the smallest
 // budget, and the bound of a connection.
 func TestLimitsOfOneMessage(t *testing.T) {
--- a/internal/clientguard/conn.go
+++ b/internal/clientguard/conn.go
@@ -79,7 +79,7 @@
 	conn.mutex.Lock()
 	defer conn.mutex.Unlock()
 	conn.partial = false
-	conn.waiting = false
+	conn.setWaiting(false)
 	if !conn.stopped {
 		_ = conn.socket.SetDeadline(time.Time{})
 	}
