--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -203,6 +203,16 @@
 	return proxy.dead.Load() || proxy.fleet.cut[proxy.index].Load()
 }
 
+func (proxy *fleetProxy) Await(ctx context.Context, ready func(*ebonywood.Snapshot) bool) (*ebonywood.Snapshot, error) {
+	for ctx.Err() == nil {
+		if snapshot := proxy.Snapshot(); ready(snapshot) {
+			return snapshot, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return nil, ctx.Err()
+}
+
 func (proxy *fleetProxy) Snapshot() *ebonywood.Snapshot {
 	proxy.mutex.Lock()
 	defer proxy.mutex.Unlock()
--- a/internal/edge/ratelimit/limiter.go
+++ b/internal/edge/ratelimit/limiter.go
@@ -18,6 +18,14 @@
 // and to the next one.
 const maxWait = 150 * time.Millisecond
 
+// unavailableWait bounds the wait for an allocator that can be asked. After a start of all
+// proxies their allocators are known everywhere within a few hundred milliseconds, and callers
+// that are refused meanwhile use up their retries.
+const unavailableWait = 500 * time.Millisecond
+
+// allocatorPollInterval is the time after which an allocator that did not answer is asked again.
+const allocatorPollInterval = 50 * time.Millisecond
+
 // stock holds the tokens of one workspace and the operations that wait for one. The edge's
 // mutex protects it.
 type stock struct {
@@ -39,6 +47,9 @@
 		return true
 	}
 	taken := edge.take(ctx, workspace.Name(), until)
+	for waitUntil := earlier(until, time.Now().Add(unavailableWait)); !taken && edge.awaitAllocators(ctx, waitUntil); {
+		taken = edge.take(ctx, workspace.Name(), until)
+	}
 	if taken {
 		edge.metrics.taken.Inc(1)
 	} else {
@@ -47,6 +58,35 @@
 	return taken
 }
 
+// awaitAllocators waits, while no allocator can be asked, for a change of the listed ones or
+// for allocatorPollInterval. It returns false if one can be asked or the time to wait is over.
+func (edge *Edge) awaitAllocators(ctx context.Context, until time.Time) bool {
+	listed := edge.port.Snapshot().Allocators()
+	if edge.canAskAny(listed) || !time.Now().Before(until) {
+		return false
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, min(allocatorPollInterval, time.Until(until)))
+	defer cancel()
+	_, _ = edge.port.Await(waitCtx, func(snapshot *ebonywood.Snapshot) bool { return !slices.Equal(snapshot.Allocators(), listed) })
+	return ctx.Err() == nil
+}
+
+// canAskAny reports whether one of the listed allocators can be asked.
+func (edge *Edge) canAskAny(listed []ebonywood.Allocator) bool {
+	now := edge.now()
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	return slices.ContainsFunc(listed, func(allocator ebonywood.Allocator) bool { return !edge.isDown(now, allocator) })
+}
+
+// earlier returns the earlier of two times.
+func earlier(left, right time.Time) time.Time {
+	if right.Before(left) {
+		return right
+	}
+	return left
+}
+
 func (edge *Edge) take(ctx context.Context, workspace string, until time.Time) bool {
 	edge.mutex.Lock()
 	// The clock is read under the mutex: a process that is paused while it waits for it must
--- a/internal/edge/sessions/choice.go
+++ b/internal/edge/sessions/choice.go
@@ -17,8 +17,11 @@
 	crossZoneCostMs = 6.0
 	primaryCostMs   = 30.0
 	// newConnectionCostMs is added to the expected time at a member, in ms, if a connection
-	// has to be opened for the workspace, which occupies a slot of the member.
-	newConnectionCostMs = 15.0
+	// has to be opened for the workspace, which occupies a slot of the member and replaces a
+	// connection that another workspace will need. fullMemberCostMs is added if the member has
+	// no connection left, too.
+	newConnectionCostMs = 50.0
+	fullMemberCostMs    = 100.0
 	// maxReaders bounds the members that are considered for a read, so that the choice needs
 	// no allocation.
 	maxReaders = 16
@@ -136,6 +139,9 @@
 		WithTime(pool.slowness*expected.Seconds()*1000, now-pool.slownessAt)
 	if workspace != "" && !pool.hasIdle(workspace) {
 		load = load.WithAvoidedCost(newConnectionCostMs)
+		if now < pool.fullUntil {
+			load = load.WithAvoidedCost(fullMemberCostMs)
+		}
 	}
 	if pool.closed || pool.unreachable {
 		return load, false
