--- a/internal/edge/directory/configuration.go
+++ b/internal/edge/directory/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/ebonywood/ebonywood"
 )
@@ -52,6 +53,10 @@
 	}
 }
 
+// configurationSeedTimeout bounds the wait for the seeds' configurations. It is short, since
+// after a start of all proxies no seed has one and callers wait meanwhile.
+const configurationSeedTimeout = 100 * time.Millisecond
+
 // askSeedsForConfiguration examines the configurations of the seed proxies after the first
 // list of this process, if the listed one is invalid or has workspaces: without the memory of
 // earlier versions, a process can't see that the directory holds an older one. Deployments
@@ -61,6 +66,8 @@
 	if mirror.edge.port.Relay() == nil || kept.lastRevision == 0 || !kept.lastFailed && !kept.set.RequiresWorkspace() {
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, configurationSeedTimeout)
+	defer cancel()
 	key := mirror.edge.port.Directory().ConfigurationKey()
 	var differing []string
 	for _, seed := range mirror.fetchSeedPages(ctx, mirror.edge.port.Settings().Seeds(), ebonywood.Cursor{}.WithRevision(listedRevision)) {
--- a/internal/edge/ratelimit/limiter.go
+++ b/internal/edge/ratelimit/limiter.go
@@ -33,8 +33,10 @@
 	tokens *tokenstock.Stock
 	// waiters have one entry for each operation that waits, in order of arrival.
 	waiters []chan bool
-	// asking is set while a request for tokens of the workspace is queued or in flight.
-	asking bool
+	// asking counts the requests for tokens of the workspace that are queued or in flight, each
+	// to another allocator. askedAt is when the last one was queued.
+	asking  int
+	askedAt ebonywood.Millis
 	// order has the allocators in the order in which this proxy asks them, for the table
 	// listed.
 	listed, order []ebonywood.Allocator
@@ -102,7 +104,7 @@
 		return true
 	}
 	edge.request(now, stock)
-	if !stock.asking {
+	if stock.asking == 0 {
 		edge.mutex.Unlock()
 		return false
 	}
@@ -114,13 +116,24 @@
 
 // await waits for the answer to an operation that waits in the stock.
 func (edge *Edge) await(ctx context.Context, stock *stock, answer chan bool, wait time.Duration) bool {
-	timer := time.NewTimer(max(0, wait))
+	timer := time.NewTimer(max(0, min(wait, slowAge.Duration())))
 	defer timer.Stop()
 	select {
 	case taken := <-answer:
 		return taken
 	case <-ctx.Done():
 	case <-timer.C:
+		// The allocator is slow: another one is asked as well.
+		edge.mutex.Lock()
+		edge.request(edge.now(), stock)
+		edge.mutex.Unlock()
+		timer.Reset(max(0, wait-slowAge.Duration()))
+		select {
+		case taken := <-answer:
+			return taken
+		case <-ctx.Done():
+		case <-timer.C:
+		}
 	}
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
@@ -171,7 +184,7 @@
 	if len(stock.waiters) > 0 {
 		edge.request(now, stock)
 	}
-	if !stock.asking {
+	if stock.asking == 0 {
 		for len(stock.waiters) > 0 {
 			stock.answerFirst(false)
 		}
--- a/internal/edge/ratelimit/request.go
+++ b/internal/edge/ratelimit/request.go
@@ -10,7 +10,9 @@
 
 const (
 	// requestTimeout bounds a request to an allocator.
-	requestTimeout = 50 * time.Millisecond
+	requestTimeout = 400 * time.Millisecond
+	// maxAsking bounds the allocators that are asked at the same time for a workspace.
+	maxAsking = 3
 	// An allocator is slow if it has not answered the present request for slowAge, or if its
 	// answers take that long on average. Others are asked first, since operations wait meanwhile.
 	slowAge ebonywood.Millis = 15
@@ -87,9 +89,10 @@
 }
 
 // request queues a request for tokens of a workspace to the first allocator that may be asked.
-// It does nothing if there is none, or if a request is already under way. The mutex is held.
+// It does nothing if there is none, or if a request is under way that is not slow yet. The mutex
+// is held.
 func (edge *Edge) request(now ebonywood.Millis, stock *stock) {
-	if stock.asking {
+	if stock.asking >= maxAsking || stock.asking > 0 && now-stock.askedAt < slowAge {
 		return
 	}
 	allocator, found := stock.tokens.Next(now, edge.candidates(now, stock))
@@ -97,10 +100,13 @@
 		return
 	}
 	link := edge.link(allocator.Number())
+	if slices.Contains(link.pending, stock) {
+		return
+	}
 	if !edge.startLink(link) {
 		return
 	}
-	stock.asking = true
+	stock.asking, stock.askedAt = stock.asking+1, now
 	link.pending = append(link.pending, stock)
 }
 
@@ -196,7 +202,11 @@
 	var needs []ebonywood.TokenNeed
 	for _, stock := range next.asked {
 		urgent := len(stock.waiters)
-		need := ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), stock.tokens.Wanted(now, urgent))
+		if link.answerMs > float64(ebonywood.UrgentTokenLife)/4 {
+			// Urgent tokens would expire on the way.
+			urgent = 0
+		}
+		need := ebonywood.NewTokenNeed(stock.name, stock.tokens.BeginRequest(now, next.allocator), stock.tokens.Wanted(now, len(stock.waiters)))
 		needs = append(needs, need.WithUrgent(urgent))
 	}
 	next.stocks = append(next.stocks, next.asked...)
@@ -260,7 +270,7 @@
 // wait. The mutex is held.
 func (edge *Edge) endAsking(now ebonywood.Millis, next exchange) {
 	for _, stock := range next.asked {
-		stock.asking = false
+		stock.asking--
 	}
 	for _, stock := range next.asked {
 		edge.serve(now, stock)
