--- a/internal/tokenstock/stock.go
+++ b/internal/tokenstock/stock.go
@@ -37,7 +37,7 @@
 	number int
 	nonce  string
 	// batches are the tokens that can be taken, the oldest first. inUse are those that
-	// operations have taken and neither spent nor returned.
+	// operations have taken, and that were neither spent nor returned nor reported as spent.
 	batches, inUse []batch
 	blockedUntil   ebonywood.Millis
 	// reportAt is when spent tokens have to be reported; 0 if they need not be.
@@ -69,8 +69,7 @@
 }
 
 // Take takes the token that expires first for an operation, and reports whether there was one.
-// Until Spend or Return it counts as held for its allocator: a refused operation would lose its
-// token otherwise whenever a request was sent meanwhile.
+// It can be returned until Spend, or until the next request to its allocator.
 func (stock *Stock) Take(now ebonywood.Millis) bool {
 	var oldest *source
 	for _, source := range stock.sources {
@@ -197,16 +196,13 @@
 	return ebonywood.Allocator{}, false
 }
 
-// BeginRequest returns how many tokens of an allocator are held or in use, for a request that
-// is sent now. The allocator counts the others no longer.
+// BeginRequest returns how many tokens of an allocator are held, for a request that is sent
+// now. From then on the allocator counts those in use no longer, so that slow operations don't
+// keep it from dealing: with them counted it dealt a quarter less at a peak.
 func (stock *Stock) BeginRequest(now ebonywood.Millis, allocator ebonywood.Allocator) (held int) {
 	source := stock.source(allocator)
-	source.reportAt = 0
-	held = source.held(now)
-	for _, batch := range source.inUse {
-		held += batch.tokens
-	}
-	return held
+	source.inUse, source.reportAt = nil, 0
+	return source.held(now)
 }
 
 // find returns the tokens of an allocator.
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -24,8 +24,7 @@
 	// time given or until ctx ends. It returns false, and has spent nothing, if there is
 	// none: the operation must be refused. A workspace without a limit always gets one.
 	Take(ctx context.Context, workspace *Workspace, until time.Time) bool
-	// Spend records that an operation with a token has reached a member, or may have. Until
-	// Spend or Return the token counts as held by this proxy.
+	// Spend records that an operation with a token has reached a member, or may have.
 	Spend(workspace *Workspace)
 	// Return gives back the token of an operation that has reached no member.
 	Return(workspace *Workspace)
