--- a/internal/metrics/labels.go
+++ b/internal/boundedlabel/boundedlabel.go
@@ -1,4 +1,5 @@
-package metrics
+// Package boundedlabel bounds the values of a metric's label, since each is a series of its own.
+package boundedlabel
 
 import "sync"
 
@@ -14,8 +15,8 @@
 	seen  map[string]bool
 }
 
-// NewLabels returns labels that keep the first values up to the limit.
-func NewLabels(limit int) *Labels { return &Labels{limit: limit, seen: map[string]bool{}} }
+// New returns labels that keep the first values up to the limit.
+func New(limit int) *Labels { return &Labels{limit: limit, seen: map[string]bool{}} }
 
 // Label returns the label for a value.
 func (labels *Labels) Label(value string) string {
--- a/internal/edge/caller/caller.go
+++ b/internal/edge/caller/caller.go
@@ -21,7 +21,7 @@
 	"github.com/ebonywood/ebonywood/internal/credentials"
 	"github.com/ebonywood/ebonywood/internal/identity"
 	"github.com/ebonywood/ebonywood/internal/invariant"
-	"github.com/ebonywood/ebonywood/internal/metrics"
+	"github.com/ebonywood/ebonywood/internal/refusals"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/retry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
@@ -57,7 +57,7 @@
 	// budgets holds the retry budgets by the name of the route.
 	budgets  map[string]*retry.Budget
 	random   *rand.Rand
-	refusals *metrics.Refusals
+	refusals *refusals.Counter
 	// meters maps a meterKey to its *meter.
 	meters sync.Map
 
@@ -76,7 +76,7 @@
 	}
 	edge := &Edge{
 		port: port, listener: listener, guard: clientguard.New(port, "callers", port.Settings().MaxCallers()), sessions: map[uint32]*callerSession{},
-		refusals: metrics.NewRefusals(port.Metrics()),
+		refusals: refusals.New(port.Metrics()),
 		budgets:  map[string]*retry.Budget{}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	return edge, edge.loadSecurity()
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -18,7 +18,6 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/decision/allocation"
-	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // This file plays a fleet without a network on a simulated clock. Every proxy has its own edge
@@ -491,7 +490,7 @@
 
 // requireBound checks every window of every workspace.
 func (fleet *fleet) requireBound(t *testing.T) {
-	bounds := tokenbucket.NewBounds(defaultWindow, defaultOverage, defaultSlack)
+	bounds := ebonywood.NewRateBounds(defaultWindow, defaultOverage, defaultSlack)
 	for workspace, spent := range fleet.spent {
 		slices.Sort(spent)
 		most := int(bounds.Max(rateOf(workspace), burstOf(workspace)))
--- a/internal/edge/ratelimit/ratelimit.go
+++ b/internal/edge/ratelimit/ratelimit.go
@@ -16,9 +16,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/ebonywood/ebonywood"
+	"github.com/ebonywood/ebonywood/internal/boundedlabel"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
-	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // Name is the plug-in's name.
@@ -45,7 +45,7 @@
 type Edge struct {
 	port       ebonywood.Port
 	group      *rungroup.Group
-	bounds     tokenbucket.Bounds
+	bounds     ebonywood.RateBounds
 	allocators int
 	life, ttl  ebonywood.Millis
 	// run identifies this run of the process in its requests.
@@ -77,7 +77,7 @@
 	life := limits.Millis(ebonywood.LimitTokenLife)
 	return &Edge{
 		port: port, group: rungroup.New(context.Background()),
-		bounds:     tokenbucket.NewBounds(window, overage, slack),
+		bounds:     ebonywood.NewRateBounds(window, overage, slack),
 		allocators: limits.Count(ebonywood.LimitRateAllocators), life: life,
 		// A key that expires unsettled must outlive the tokens of the holder before it. Its
 		// lease was granted up to callTimeout before the key was written.
@@ -119,8 +119,7 @@
 	taken, dealt, returned    tally.Counter
 	answered, refused, failed tally.Counter
 	held                      tally.Gauge
-	mutex                     *sync.Mutex
-	limited                   map[string]tally.Counter
+	workspaces                *boundedlabel.Labels
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -130,22 +129,11 @@
 	return metrics{
 		scope: scope, taken: scope.Counter("tokensTaken"), dealt: scope.Counter("tokensDealt"), returned: scope.Counter("tokensReturned"),
 		answered: requests("answered"), refused: requests("refused"), failed: requests("failed"),
-		held: scope.Gauge("allocatorsHeld"), mutex: &sync.Mutex{}, limited: map[string]tally.Counter{},
+		held: scope.Gauge("allocatorsHeld"), workspaces: boundedlabel.New(maxWorkspaceSeries),
 	}
 }
 
 // countLimited counts an operation that was refused for lack of a token.
 func (metrics metrics) countLimited(workspace string) {
-	metrics.mutex.Lock()
-	defer metrics.mutex.Unlock()
-	counter, found := metrics.limited[workspace]
-	if !found && len(metrics.limited) >= maxWorkspaceSeries {
-		workspace = "other"
-		counter, found = metrics.limited[workspace]
-	}
-	if !found {
-		counter = metrics.scope.Tagged(map[string]string{"workspace": workspace}).Counter("operationsLimited")
-		metrics.limited[workspace] = counter
-	}
-	counter.Inc(1)
+	metrics.scope.Tagged(map[string]string{"workspace": metrics.workspaces.Label(workspace)}).Counter("operationsLimited").Inc(1)
 }
--- a/internal/metrics/refusals_test.go
+++ b/internal/refusals/refusals_test.go
@@ -1,4 +1,4 @@
-package metrics
+package refusals
 
 import (
 	"fmt"
@@ -15,7 +15,7 @@
 // their own, the others share one, and callers without a workspace have another.
 func TestRefusalsAreBounded(t *testing.T) {
 	scope := tally.NewTestScope("", nil)
-	refusals := NewRefusals(scope)
+	refusals := New(scope)
 	for range 2 {
 		for i := range 100 {
 			refusals.Count("busy", ebonywood.NewWorkspace(fmt.Sprintf("w%d", i), nil, nil, 0))
--- a/internal/tokenbucket/allocator.go
+++ b/internal/tokenbucket/allocator.go
@@ -10,7 +10,7 @@
 // its lease. The caller makes sure that the lease holds at each call. It is not safe for
 // concurrent use.
 type Allocator struct {
-	bounds    Bounds
+	bounds    ebonywood.RateBounds
 	count     int
 	life      ebonywood.Millis
 	startedAt ebonywood.Millis
@@ -27,7 +27,7 @@
 
 // New returns an allocator that starts with empty buckets at startedAt, one of count. life
 // is how long a token may be spent.
-func New(bounds Bounds, count int, life, startedAt ebonywood.Millis) *Allocator {
+func New(bounds ebonywood.RateBounds, count int, life, startedAt ebonywood.Millis) *Allocator {
 	return &Allocator{
 		bounds: bounds, count: count, life: life, startedAt: startedAt,
 		buckets: map[string]*bucket{}, requests: map[string]lastRequest{}, sweptAt: startedAt,
@@ -62,7 +62,7 @@
 
 // bucket returns the bucket of a workspace with its present limit.
 func (allocator *Allocator) bucket(now ebonywood.Millis, workspace *ebonywood.Workspace) *bucket {
-	limit := NewLimit(workspace.Rate(), workspace.Burst(), allocator.bounds, allocator.count)
+	limit := newAllowance(workspace.Rate(), workspace.Burst(), allocator.bounds, allocator.count)
 	found, exists := allocator.buckets[workspace.Name()]
 	if !exists {
 		found = newBucket(limit, allocator.startedAt, allocator.life)
--- a/internal/tokenbucket/limit.go
+++ b/internal/tokenbucket/allowance.go
@@ -22,31 +22,8 @@
 	millisPerSecond = 1000
 )
 
-// Bounds is the rule for the operations of a workspace in any window: at most
-// (rate * window + burst) * (1 + overage) + slack.
-type Bounds struct {
-	window  ebonywood.Millis
-	overage float64
-	slack   float64
-}
-
-// NewBounds returns the rule.
-func NewBounds(window ebonywood.Millis, overage, slack float64) Bounds {
-	return Bounds{window: window, overage: overage, slack: slack}
-}
-
-// Window returns the length of the window.
-func (bounds Bounds) Window() ebonywood.Millis { return bounds.window }
-
-// Max returns how many operations a window may have.
-func (bounds Bounds) Max(rate, burst float64) float64 {
-	return (rate*bounds.seconds()+burst)*(1+bounds.overage) + bounds.slack
-}
-
-func (bounds Bounds) seconds() float64 { return float64(bounds.window) / millisPerSecond }
-
-// Limit is one allocator's part of the limit of a workspace.
-type Limit struct {
+// allowance is one allocator's part of the limit of a workspace.
+type allowance struct {
 	// rate is the number of tokens created in a second.
 	rate float64
 	// bucket is how many tokens the bucket holds, dealt how many may be dealt and not spent.
@@ -54,13 +31,13 @@
 	bucket, dealt float64
 }
 
-// NewLimit returns the part that each of a number of allocators has of the limit of a
+// newAllowance returns the part that each of a number of allocators has of the limit of a
 // workspace.
-func NewLimit(rate, burst float64, bounds Bounds, allocators int) Limit {
+func newAllowance(rate, burst float64, bounds ebonywood.RateBounds, allocators int) allowance {
 	share := 1 / float64(allocators)
 	rate, burst = rate*share, burst*share
-	excess := dealtShare * ((rate*bounds.seconds()+burst)*bounds.overage + bounds.slack*share)
+	excess := dealtShare * ((rate*bounds.Seconds()+burst)*bounds.Overage() + bounds.Slack()*share)
 	total := burst + excess
 	bucket := max(burst, minBucketShare*total)
-	return Limit{rate: rate, bucket: bucket, dealt: total - bucket}
+	return allowance{rate: rate, bucket: bucket, dealt: total - bucket}
 }
--- a/internal/tokenbucket/bucket.go
+++ b/internal/tokenbucket/bucket.go
@@ -29,7 +29,7 @@
 // bucket holds the tokens of one workspace that an allocator has created and not dealt, and
 // counts those that it has dealt and that may not be spent.
 type bucket struct {
-	limit  Limit
+	limit  allowance
 	tokens float64
 	// filledAt is the time up to which tokens were created.
 	filledAt ebonywood.Millis
@@ -73,7 +73,7 @@
 }
 
 // newBucket returns the empty bucket of an allocator that started at startedAt.
-func newBucket(limit Limit, startedAt, life ebonywood.Millis) *bucket {
+func newBucket(limit allowance, startedAt, life ebonywood.Millis) *bucket {
 	return &bucket{
 		limit: limit, filledAt: startedAt, predecessorUntil: startedAt + life, life: life,
 		accounts: map[string]*account{},
@@ -81,7 +81,7 @@
 }
 
 // setLimit applies another limit. Tokens that the bucket holds beyond it are dropped.
-func (bucket *bucket) setLimit(now ebonywood.Millis, limit Limit) {
+func (bucket *bucket) setLimit(now ebonywood.Millis, limit allowance) {
 	if limit == bucket.limit {
 		return
 	}
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -63,7 +63,7 @@
 	mutation mutation
 	now      ebonywood.Millis
 	set      *ebonywood.ObjectSet
-	bounds   tokenbucket.Bounds
+	bounds   ebonywood.RateBounds
 	// count is the number of allocators. A holder that is cut off renews no lease.
 	count  int
 	keys   []modelKey
@@ -128,7 +128,7 @@
 	model := &model{
 		choose: choose, mutation: mutation, now: 100_000,
 		set:    ebonywood.NewObjectSet(1, "", nil, nil, nil).WithWorkspaces([]*ebonywood.Workspace{workspace}),
-		bounds: tokenbucket.NewBounds(modelWindow, modelOverage, modelSlack),
+		bounds: ebonywood.NewRateBounds(modelWindow, modelOverage, modelSlack),
 		count:  count, keys: make([]modelKey, count), cutOff: make([]bool, count),
 	}
 	for i := range modelProxies {
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -37,6 +37,36 @@
 	Allocate(request TokenRequest) TokenReply
 }
 
+// RateBounds is the rule for the operations of a workspace in any window: at most
+// (rate * window + burst) * (1 + overage) + slack.
+type RateBounds struct {
+	window  Millis
+	overage float64
+	slack   float64
+}
+
+// NewRateBounds returns the rule.
+func NewRateBounds(window Millis, overage, slack float64) RateBounds {
+	return RateBounds{window: window, overage: overage, slack: slack}
+}
+
+// Window returns the length of the window.
+func (bounds RateBounds) Window() Millis { return bounds.window }
+
+// Max returns how many operations a window may have.
+func (bounds RateBounds) Max(rate, burst float64) float64 {
+	return (rate*bounds.Seconds()+burst)*(1+bounds.overage) + bounds.slack
+}
+
+// Seconds returns the length of the window in seconds.
+func (bounds RateBounds) Seconds() float64 { return bounds.window.Duration().Seconds() }
+
+// Overage returns the share by which a window may exceed the limit.
+func (bounds RateBounds) Overage() float64 { return bounds.overage }
+
+// Slack returns how many operations a window may have in addition.
+func (bounds RateBounds) Slack() float64 { return bounds.slack }
+
 // TokenNeed says what a proxy holds and needs of the tokens of one workspace.
 type TokenNeed struct {
 	workspace string
