--- a/internal/balance/forwarding_test.go
+++ b/internal/balance/forwarding_test.go
@@ -176,8 +176,8 @@
 const nominalMs = 20.0
 
 // TestForwardingComparison guards against forwarding to a proxy that has little processor time
-// while another one of the zone, or of another one, answers faster. With -v it prints the third table of
-// docs/design/even-load.md.
+// while another one of the zone, or of another one, answers faster. With -v it prints the third
+// table of docs/design/even-load.md.
 func TestForwardingComparison(t *testing.T) {
 	if testing.Verbose() {
 		var table strings.Builder
--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -67,7 +67,8 @@
 }
 
 // Handle processes the list of allocators, the list of live proxies, a new object set, changes
-// of the directory's reachability and the request to drain. It returns ClaimAllocator for keys that this proxy has to claim.
+// of the directory's reachability and the request to drain. It returns ClaimAllocator for keys
+// that this proxy has to claim.
 func (allocation *Allocation) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
 	switch event := event.(type) {
 	case ebonywood.ObjectSetApplied:
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -113,9 +113,9 @@
 	return nil
 }
 
-// watchDirectory watches the directory itself until its history is compacted or too large
-// to be read, or another proxy can be followed. It continues at the revision that a watcher's mirror had
-// reached, because a new list takes long over a slow link.
+// watchDirectory watches the directory itself until its history is compacted or too large to be
+// read, or another proxy can be followed. It continues at the revision that a watcher's mirror
+// had reached, because a new list takes long over a slow link.
 func (mirror *mirror) watchDirectory(ctx context.Context) {
 	mirror.upstreamAddress = ""
 	if mirror.revision == 0 && !mirror.initialize(ctx) {
--- a/internal/edge/ratelimit/limiter.go
+++ b/internal/edge/ratelimit/limiter.go
@@ -197,8 +197,8 @@
 }
 
 // candidates returns the allocators in the order in which this proxy asks them for tokens of
-// the workspace, without those that do not answer and the slow ones last. The order differs among proxies and
-// workspaces, so that the allocators are asked evenly. The mutex is held.
+// the workspace, without those that do not answer and the slow ones last. The order differs
+// among proxies and workspaces, so that the allocators are asked evenly. The mutex is held.
 func (edge *Edge) candidates(now ebonywood.Millis, stock *stock) []ebonywood.Allocator {
 	listed := edge.port.Snapshot().Allocators()
 	if !slices.Equal(listed, stock.listed) {
--- a/internal/edge/sessions/attempt.go
+++ b/internal/edge/sessions/attempt.go
@@ -148,8 +148,9 @@
 	return reply
 }
 
-// endLease releases the lease as the outcome requires and reports whether the reply is
-// final, since the outcome is or since there is no budget for a retry. A lease that the session's transaction holds is not released.
+// endLease releases the lease as the outcome requires and reports whether the reply is final,
+// since the outcome is or since there is no budget for a retry. A lease that the session's
+// transaction holds is not released.
 func (session *session) endLease(lease *lease, attempt *attempt, outcome attemptOutcome) (done bool) {
 	pool := lease.pool
 	switch outcome {
--- a/internal/edge/sessions/pool.go
+++ b/internal/edge/sessions/pool.go
@@ -260,10 +260,10 @@
 	return nil, fault
 }
 
-// resize sets the admission limit to the established connections plus one that may be
-// opened, and at most to what is lent, which established ones may exceed. Beyond openAtOnce, requests open no more
-// than one at a time, since opening a connection occupies a slot of the member. Up to
-// there they open as many as they need: after a start all callers come at once. While the
+// resize sets the admission limit to the established connections plus one that may be opened,
+// and at most to what is lent, which established ones may exceed. Beyond openAtOnce, requests
+// open no more than one at a time, since opening a connection occupies a slot of the member. Up
+// to there they open as many as they need: after a start all callers come at once. While the
 // member has no connection left, none is opened. The mutex is held.
 func (pool *pool) resize() {
 	established := pool.open - pool.dialing
--- a/internal/edge/sessions/ratelimit.go
+++ b/internal/edge/sessions/ratelimit.go
@@ -44,8 +44,15 @@
 			return
 		}
 	}
-	attempt.hasToken = false
-	session.edge.port.RateLimiter().Spend(attempt.workspace)
+	session.spendToken(attempt)
+}
+
+// spendToken records that the attempt's operation has reached a member.
+func (session *session) spendToken(attempt *attempt) {
+	if attempt.hasToken {
+		attempt.hasToken = false
+		session.edge.port.RateLimiter().Spend(attempt.workspace)
+	}
 }
 
 // admitTransaction takes the token of the open transaction with its first statement that needs
--- a/internal/edge/sessions/retrybudget.go
+++ b/internal/edge/sessions/retrybudget.go
@@ -20,10 +20,10 @@
 	retryReserveForUrgent = 5
 )
 
-// retryBudget is the budget for tries after one that reached a member or another proxy. A
-// try that was not sent is no load to them, and neither are those after replies that name a
-// state of the member (not primary, behind the floor, without the prepared statement), since the process
-// acts on that state before the next try.
+// retryBudget is the budget for tries after one that reached a member or another proxy. A try
+// that was not sent is no load to them, and neither are those after replies that name a state
+// of the member (not primary, behind the floor, without the prepared statement), since the
+// process acts on that state before the next try.
 type retryBudget struct {
 	mutex  sync.Mutex
 	budget retry.Budget
--- a/internal/edge/sessions/slot.go
+++ b/internal/edge/sessions/slot.go
@@ -16,20 +16,20 @@
 // errNoSlot reports that a statement got no slot of the member in time. It was not sent.
 var errNoSlot = errors.New("no slot of the member became free in time")
 
-// slotShare returns how many statements this process keeps in flight at a member that
-// proxies share, besides what they lend each other. Further ones wait in this process, where they are ordered and can be
-// refused, rather than in the member's own queue.
+// slotShare returns how many statements this process keeps in flight at a member that proxies
+// share, besides what they lend each other. Further ones wait in this process, where they are
+// ordered and can be refused, rather than in the member's own queue.
 func (edge *Edge) slotShare(member ebonywood.Member, proxies int) int {
 	proxies = max(1, proxies)
 	statements := member.Slots() * edge.limits.Count(ebonywood.LimitStatementsPerSlot)
 	return max(minSlots, (statements+proxies-1)/proxies)
 }
 
-// execute waits for a slot of the member and runs the statements, preceded by those
-// that bring the connection into the session's state. It returns errNoSlot if no slot
-// became free in time, at once if the predicted wait is too long. Inside a transaction the wait is bounded by the statement's
-// deadline rather than by the route's latency objective, since a refusal would lose the
-// work done so far.
+// execute waits for a slot of the member and runs the statements, preceded by those that bring
+// the connection into the session's state. It returns errNoSlot if no slot became free in time,
+// at once if the predicted wait is too long. Inside a transaction the wait is bounded by the
+// statement's deadline rather than by the route's latency objective, since a refusal would lose
+// the work done so far.
 func (lease *lease) execute(session *session, attempt *attempt, statements ...ebonywood.Statement) ([]ebonywood.Reply, error) {
 	slotShape := shape(attempt.route, "slot")
 	expected := lease.pool.edge.expectedCost(slotShape)
--- a/internal/edge/sessions/transaction.go
+++ b/internal/edge/sessions/transaction.go
@@ -145,7 +145,7 @@
 	tx.wrote = tx.wrote || attempt.writes
 	attempt.workUntil = tx.workUntil
 	reply := session.sendStep(resolved, attempt)
-	session.settleToken(attempt, reply.WithState(ebonywood.TxOpen))
+	session.spendToken(attempt)
 	session.edge.account(statement, attempt, reply)
 	return reply
 }
@@ -261,7 +261,7 @@
 	attempt.member = pool.member.ID()
 	attempt.workUntil = tx.workUntil
 	reply := session.sendCommit(statement, attempt)
-	session.settleToken(attempt, reply.WithState(ebonywood.TxOpen))
+	session.spendToken(attempt)
 	session.clearTransaction()
 	session.edge.account(statement, attempt, reply)
 	return reply.WithState(ebonywood.TxIdle)
--- a/internal/lending/lending_test.go
+++ b/internal/lending/lending_test.go
@@ -187,8 +187,8 @@
 }
 
 // TestOverloadFallsBackToShares sends 150% of what the member can run, evenly and unevenly,
-// after a time of usual load. The processes must not push each other's statements into the member's queue: on average
-// there are not many more than the shares.
+// after a time of usual load. The processes must not push each other's statements into the
+// member's queue: on average there are not many more than the shares.
 func TestOverloadFallsBackToShares(t *testing.T) {
 	for seed := range uint64(5) {
 		for name, demand := range map[string]rates{"even": even(1.5), "uneven": uneven(seed, 1.5)} {
--- a/internal/memberhealth/memberhealth.go
+++ b/internal/memberhealth/memberhealth.go
@@ -3,9 +3,10 @@
 // or delays reads. Writes and strict reads are not affected, since only the primary runs them.
 //
 // Reads leave a member on one of three kinds of evidence. Slowness needs no rule here: package
-// balance weighs members by the times of their reads, and those age. They stay away for a hold time, which
-// doubles with each relapse. Then single trial reads are sent, more often with each good result,
-// until enough of them were good. At least one member of the instance is always kept.
+// balance weighs members by the times of their reads, and those age. They stay away for a hold
+// time, which doubles with each relapse. Then single trial reads are sent, more often with each
+// good result, until enough of them were good. At least one member of the instance is always
+// kept.
 package memberhealth
 
 import (
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -1,9 +1,10 @@
-// Package spread decides on how many of the proxies that serve an instance the statements of
-// a workspace run.
+// Package spread decides on how many of the proxies that serve an instance the statements of a
+// workspace run.
 //
 // Each connection to a member belongs to one workspace, and opening one occupies a slot of the
-// member, so a workspace with few statements should run on few proxies. A large one has to run on several, since one proxy has few connections, and then most of
-// its callers find one in their own availability zone.
+// member, so a workspace with few statements should run on few proxies. A large one has to run
+// on several, since one proxy has few connections, and then most of its callers find one in
+// their own availability zone.
 package spread
 
 import "math"
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -464,7 +464,8 @@
 }
 
 // violation returns a description of a window with too many operations, or of a time at which
-// the proxies held too many tokens; empty if there is none. The bound is that on spent tokens, without the share for the way to the member.
+// the proxies held too many tokens; empty if there is none. The bound is that on spent tokens,
+// without the share for the way to the member.
 func (model *model) violation() string {
 	seconds := float64(modelWindow) / 1000
 	most := int(modelRate*seconds) + modelBurst + modelExcess
--- a/statement.go
+++ b/statement.go
@@ -223,11 +223,10 @@
 
 // Dialer opens connections to members.
 type Dialer interface {
-	// Dial connects to the member of the instance within the timeout and returns
-	// the end of its log. workspace names the workspace whose statements run on the
-	// connection; empty if they belong to none. Its faults: KindUnavailable, the member did not respond;
-	// KindOverload, the member has too many connections; KindDenied, another member
-	// responded.
+	// Dial connects to the member of the instance within the timeout and returns the end of its
+	// log. workspace names the workspace whose statements run on the connection; empty if they
+	// belong to none. Its faults: KindUnavailable, the member did not respond; KindOverload,
+	// the member has too many connections; KindDenied, another member responded.
 	Dial(instance InstanceID, member Member, workspace string, timeout time.Duration) (MemberConn, Position, error)
 }
 
