Rates: the present run of a restarted allocator is asked at once

A process that holds the key of the allocator names its run in the refusal. Test: TestPresentRunOfAnAllocatorIsAsked.

--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -74,10 +74,24 @@
 	edge.claimMutex.Lock()
 	claim, found := edge.claims[request.Allocator()]
 	edge.claimMutex.Unlock()
-	if !found || claim.nonce != request.Nonce() {
-		return ebonywood.NewTokenRefusal("this process is not the allocator")
+	refusal := ebonywood.NewTokenRefusal("this process is not the allocator")
+	switch {
+	case !found:
+		return refusal
+	case claim.nonce == request.Nonce():
+		return claim.allocate(request)
+	case claim.isHeld():
+		return refusal.WithNonce(claim.nonce)
+	default:
+		return refusal
 	}
-	return claim.allocate(request)
+}
+
+// isHeld reports whether the key is certain to be held.
+func (claim *claim) isHeld() bool {
+	claim.mutex.Lock()
+	defer claim.mutex.Unlock()
+	return claim.allocator != nil && claim.edge.now() < claim.certainUntil
 }
 
 func (claim *claim) allocate(request ebonywood.TokenRequest) ebonywood.TokenReply {
--- a/internal/edge/ratelimit/limiter.go
+++ b/internal/edge/ratelimit/limiter.go
@@ -64,7 +64,7 @@
 // for allocatorPollInterval. It returns false if one can be asked or the time to wait is over.
 func (edge *Edge) awaitAllocators(ctx context.Context, until time.Time) bool {
 	listed := edge.port.Snapshot().Allocators()
-	if edge.canAskAny(listed) || !time.Now().Before(until) {
+	if edge.canAskAny() || !time.Now().Before(until) {
 		return false
 	}
 	waitCtx, cancel := context.WithTimeout(ctx, min(allocatorPollInterval, time.Until(until)))
@@ -73,12 +73,12 @@
 	return ctx.Err() == nil
 }
 
-// canAskAny reports whether one of the listed allocators can be asked.
-func (edge *Edge) canAskAny(listed []ebonywood.Allocator) bool {
+// canAskAny reports whether one of the allocators can be asked.
+func (edge *Edge) canAskAny() bool {
 	now := edge.now()
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
-	return slices.ContainsFunc(listed, func(allocator ebonywood.Allocator) bool { return !edge.isDown(now, allocator) })
+	return slices.ContainsFunc(edge.allocatorTable(), func(allocator ebonywood.Allocator) bool { return !edge.isDown(now, allocator) })
 }
 
 // earlier returns the earlier of two times.
@@ -200,7 +200,7 @@
 // the workspace, without those that do not answer and the slow ones last. The order differs
 // among proxies and workspaces, so that the allocators are asked evenly. The mutex is held.
 func (edge *Edge) candidates(now ebonywood.Millis, stock *stock) []ebonywood.Allocator {
-	listed := edge.port.Snapshot().Allocators()
+	listed := edge.allocatorTable()
 	if !slices.Equal(listed, stock.listed) {
 		stock.listed = listed
 		prefix := edge.port.Settings().Name() + "/" + stock.name + "/"
--- a/internal/edge/ratelimit/ratelimit.go
+++ b/internal/edge/ratelimit/ratelimit.go
@@ -55,6 +55,8 @@
 	mutex  sync.Mutex
 	stocks map[string]*stock
 	links  map[int]*link
+	// successors has, by number, allocators that answered in another run than the one listed.
+	successors map[int]successor
 	// reporting is set while a goroutine waits to report spent tokens.
 	reporting bool
 
@@ -83,7 +85,7 @@
 		// lease was granted up to callTimeout before the key was written.
 		ttl: max(limits.Millis(ebonywood.LimitAllocatorTTL), life+ebonywood.MillisOf(callTimeout)+2*clockMargin),
 		run: newNonce(), metrics: newMetrics(port.Metrics()),
-		stocks: map[string]*stock{}, links: map[int]*link{}, claims: map[int]*claim{},
+		stocks: map[string]*stock{}, links: map[int]*link{}, successors: map[int]successor{}, claims: map[int]*claim{},
 	}
 }
 
--- a/internal/edge/ratelimit/request.go
+++ b/internal/edge/ratelimit/request.go
@@ -149,6 +149,9 @@
 	case err != nil:
 		edge.metrics.failed.Inc(1)
 		edge.applyFailure(link, next, link.silence())
+	case reply.Nonce() != "":
+		edge.metrics.refused.Inc(1)
+		edge.applySuccessor(link, next, reply.Nonce())
 	case reply.Refusal() != "":
 		edge.metrics.refused.Inc(1)
 		edge.applyFailure(link, next, refusalPeriod)
@@ -189,7 +192,7 @@
 	now := edge.now()
 	next.sentAt, next.asked = now, link.pending
 	link.pending = nil
-	allocators := edge.port.Snapshot().Allocators()
+	allocators := edge.allocatorTable()
 	index := slices.IndexFunc(allocators, func(allocator ebonywood.Allocator) bool { return allocator.Number() == link.number })
 	if index < 0 {
 		// The allocator has lost its key since the request was queued.
@@ -266,6 +269,44 @@
 	edge.endAsking(now, next)
 }
 
+// successor is an allocator that answered in another run than the one listed then.
+type successor struct {
+	listed, present ebonywood.Allocator
+}
+
+// allocatorTable returns the listed allocators, with the runs that their processes named where the
+// directory's change has not arrived yet: after a restart of all proxies that takes some hundred
+// milliseconds. The mutex is held.
+func (edge *Edge) allocatorTable() []ebonywood.Allocator {
+	listed := edge.port.Snapshot().Allocators()
+	if len(edge.successors) == 0 {
+		return listed
+	}
+	table := slices.Clone(listed)
+	for index, allocator := range table {
+		if successor, found := edge.successors[allocator.Number()]; found && successor.listed == allocator {
+			table[index] = successor.present
+		} else {
+			delete(edge.successors, allocator.Number())
+		}
+	}
+	return table
+}
+
+// applySuccessor makes the present run of the allocator's process be asked.
+func (edge *Edge) applySuccessor(link *link, next exchange, nonce string) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	now := edge.now()
+	link.recordAnswer(now, next.sentAt)
+	for _, allocator := range edge.port.Snapshot().Allocators() {
+		if allocator.Number() == link.number && allocator.Holder() == next.allocator.Holder() {
+			edge.successors[link.number] = successor{listed: allocator, present: allocator.WithNonce(nonce).WithSettled(false)}
+		}
+	}
+	edge.endAsking(now, next)
+}
+
 // endAsking lets the workspaces of a request be asked for again and serves the operations that
 // wait. The mutex is held.
 func (edge *Edge) endAsking(now ebonywood.Millis, next exchange) {
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -111,6 +111,7 @@
 type grantsMessage struct {
 	Refusal string         `cbor:"1,keyasint,omitempty"`
 	Grants  []grantMessage `cbor:"2,keyasint,omitempty"`
+	Nonce   string         `cbor:"3,keyasint,omitempty"`
 }
 
 // grantMessage is the number of tokens dealt for one workspace; RetryAfter is in milliseconds.
@@ -140,7 +141,7 @@
 }
 
 func encodeTokenReply(reply ebonywood.TokenReply) *grantsMessage {
-	message := &grantsMessage{Refusal: reply.Refusal()}
+	message := &grantsMessage{Refusal: reply.Refusal(), Nonce: reply.Nonce()}
 	for _, grant := range reply.Grants() {
 		message.Grants = append(message.Grants, grantMessage{Workspace: grant.Workspace(), Tokens: grant.Tokens(), RetryAfter: int64(grant.RetryAfter())})
 	}
@@ -149,7 +150,7 @@
 
 func (message *grantsMessage) decode() ebonywood.TokenReply {
 	if message.Refusal != "" {
-		return ebonywood.NewTokenRefusal(message.Refusal)
+		return ebonywood.NewTokenRefusal(message.Refusal).WithNonce(message.Nonce)
 	}
 	grants := make([]ebonywood.TokenGrant, 0, len(message.Grants))
 	for _, grant := range message.Grants {
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -168,6 +168,7 @@
 // TokenReply is the reply to a TokenRequest.
 type TokenReply struct {
 	refusal string
+	nonce   string
 	grants  []TokenGrant
 }
 
@@ -177,6 +178,17 @@
 // NewTokenRefusal returns the reply of a process that is not the allocator.
 func NewTokenRefusal(reason string) TokenReply { return TokenReply{refusal: reason} }
 
+// WithNonce returns the refusal of a process that is the allocator, but in another run than the
+// request names.
+func (reply TokenReply) WithNonce(nonce string) TokenReply {
+	reply.nonce = nonce
+	return reply
+}
+
+// Nonce identifies the run of the allocator's process that refused a request for another run;
+// empty if the process is not the allocator.
+func (reply TokenReply) Nonce() string { return reply.nonce }
+
 // Refusal returns why the process deals no tokens; empty if it does.
 func (reply TokenReply) Refusal() string { return reply.refusal }
 
@@ -208,6 +220,12 @@
 // Address returns the holder's peer address.
 func (allocator Allocator) Address() string { return allocator.address }
 
+// WithNonce returns the allocator as another run of its holder's process.
+func (allocator Allocator) WithNonce(nonce string) Allocator {
+	allocator.nonce = nonce
+	return allocator
+}
+
 // WithSettled returns the allocator as one that has held its key for longer than a token
 // lives.
 func (allocator Allocator) WithSettled(settled bool) Allocator {
