Show that a moved store leaves the old configuration in force

Cause: on SIGHUP the settings file is checked, and the process goes on with the settings of its start. Change: case 10 of the review; the stand-ins serve promotions at an address of their own.

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -9,8 +9,10 @@
 	"flag"
 	"fmt"
 	"net"
+	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -79,7 +81,10 @@
 	trouble bool
 	program string
 	folder  string
+	// address and server are those of the store, cloud is the address for promotions.
 	address string
+	server  *http.Server
+	cloud   string
 	// broken holds what broke the rule.
 	broken []string
 }
@@ -102,12 +107,25 @@
 		play.world.AddService(name, memberZones)
 	}
 	play.Configure(1, services)
-	play.nodes = StartNodes(play.program, play.folder, play.address, zones)
+	play.nodes = StartNodes(play.program, play.folder, play.address, play.cloud, zones)
 	cleanUp = func() { stopNodes(play.nodes) }
 }
 
-// Configure writes a version of the configuration with three routes for each service.
-func (play *Play) Configure(version int, services []string) {
+// servePromotions serves the platform's promotions.
+func (play *Play) servePromotions(host string) {
+	listener, err := net.Listen("tcp4", host+":0")
+	if err != nil {
+		fail("%v", err)
+	}
+	play.cloud = listener.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /promote", play.world.Promote)
+	go func() { _ = http.Serve(listener, mux) }()
+}
+
+// Configure writes a version of the configuration with three routes for each service, but
+// without those of the dropped databases.
+func (play *Play) Configure(version int, services []string, dropped ...string) {
 	var routes, backends []map[string]any
 	for _, name := range services {
 		backends = append(backends, map[string]any{"name": name, "max-connections": maxConnections, "sync-replicas": 0})
@@ -119,6 +137,9 @@
 			{"browse", "bounded_staleness", 2000, 500, 1500, 2},
 			{"status", "read_your_writes", 800, 250, 2500, 2},
 		} {
+			if slices.Contains(dropped, name+kind.name) {
+				continue
+			}
 			routes = append(routes, map[string]any{
 				"name": name + "-" + kind.name, "database": name + kind.name, "type": kind.word, "backend": name,
 				"timeout-ms": kind.timeout, "target-latency-ms": kind.target, "priority": kind.pr, "max-staleness-ms": kind.age,
@@ -129,7 +150,7 @@
 	play.store.Put("op/config", value)
 }
 
-var cases = map[int]func(*Play){6: caseRollback, 7: caseForeignMember, 8: caseForeignService, 9: caseSettings}
+var cases = map[int]func(*Play){6: caseRollback, 7: caseForeignMember, 8: caseForeignService, 9: caseSettings, 10: caseSettingsChange}
 
 func main() {
 	// The proxies end with the thread that started them.
@@ -164,7 +185,8 @@
 		record: record, store: store, world: NewWorld(store, host, record), trouble: trouble, program: program,
 		folder: folder, address: listener.Addr().String(),
 	}
-	store.Serve(listener, current.world.Promote)
+	current.server = store.Serve(listener)
+	current.servePromotions(host)
 	time.AfterFunc(110*time.Second, func() { fail("the case takes too long") })
 	play(current)
 	for _, node := range current.nodes {
--- a/review/standins-2/nodes.go
+++ b/review/standins-2/nodes.go
@@ -47,7 +47,7 @@
 }
 
 // StartNodes starts proxies, one for each of the zones given, and waits until all are ready.
-func StartNodes(program, folder, platform string, zones []string) []*Node {
+func StartNodes(program, folder, platform, cloud string, zones []string) []*Node {
 	var nodes []*Node
 	var seeds []string
 	for i, zone := range zones {
@@ -72,7 +72,7 @@
 			"bounds.loss-slack-ms=200", "bounds.config-apply-ms=3000", "bounds.revert-slack-ms=250", "bounds.max-stretch-ms=12000",
 			"bounds.recovery-s=12", "bounds.fencing-required=true", "bounds.thaw-slack-ms=300", "platform.address=" + platform,
 			"platform.form=kv", "platform.writes-per-s=400", "platform.reads-per-s=2000", "platform.history-retention-s=20",
-			"platform.value-bytes=1048576", "platform.min-ttl-ms=1000", "cloud.address=" + platform, "cloud.rate-per-s=50.0",
+			"platform.value-bytes=1048576", "platform.min-ttl-ms=1000", "cloud.address=" + cloud, "cloud.rate-per-s=50.0",
 			"cloud.duties=promotion", "cloud.duty-per-s=50.0", "",
 		}
 		if err := os.WriteFile(node.settings, []byte(strings.Join(text, "\n")), 0o600); err != nil {
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -43,8 +43,8 @@
 	return &Store{items: map[string]item{}, leases: map[int64]*lease{}, changed: make(chan struct{}), revision: 100}
 }
 
-// Serve serves the store and the handler of promotions at the listener.
-func (store *Store) Serve(listener net.Listener, promote http.HandlerFunc) {
+// Serve serves the store at the listener.
+func (store *Store) Serve(listener net.Listener) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", store.serveKey)
 	mux.HandleFunc("GET /kv-range", store.serveRange)
@@ -53,8 +53,9 @@
 	mux.HandleFunc("POST /kv-lease", store.serveGrant)
 	mux.HandleFunc("POST /kv-keep/{id}", store.serveKeep)
 	mux.HandleFunc("DELETE /kv-lease-end/{id}", store.serveEnd)
-	mux.HandleFunc("POST /promote", promote)
-	go func() { _ = http.Serve(listener, mux) }()
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(listener) }()
+	return server
 }
 
 // Put writes a key as the operator, a member or another writer does.
