Count only the members' commits in case 7

Cause: writes that the server acknowledged which is no member are no commits of the service. Change: the check for stale reads leaves them out.

--- a/review/standins-2/case7.go
+++ b/review/standins-2/case7.go
@@ -83,6 +83,10 @@
 		reads++
 		for id, ack := range traffic.acknowledged {
 			place, found := places[ran.service][id]
+			if _, kept := places[play.world.services[ack.service]][id]; !kept {
+				// It was acknowledged by the server that is no member.
+				continue
+			}
 			if ack.service != ran.service.name || !ack.at.Before(sentAt) || play.world.rolledBack[id] || found && place <= ran.position {
 				continue
 			}
