--- a/review/standins-2/case8.go
+++ b/review/standins-2/case8.go
@@ -13,8 +13,8 @@
 	deafDelay = 300 * time.Millisecond
 )
 
-// caseLateOrders replaces a primary, while two orders in a row get no answer and are carried
-// out late. Meanwhile one replica after the other receives nothing. Reads of primary routes
+// caseLateOrders replaces the primaries of all services. Of the four orders that this takes,
+// two get no answer and are carried out late, both for the same service. Meanwhile one replica after the other receives nothing. Reads of primary routes
 // must not miss commits that are in force in the end.
 func caseLateOrders(play *Play) {
 	play.Setup("dele", "kani", "suru")
@@ -25,20 +25,27 @@
 	}
 	time.Sleep(5 * time.Second)
 	world := play.world
-	primary := world.Primary(world.services["dele"])
 	world.mutex.Lock()
 	if play.trouble {
-		world.late, world.onLate = []time.Duration{firstLate, secondLate}, play.deafenLater
+		world.lateService, world.late, world.onLate = "dele", []time.Duration{firstLate, secondLate}, play.deafenLater
 	}
-	primary.state = "draining"
 	world.mutex.Unlock()
-	primary.Publish()
-	play.record.Say("%s, the primary of dele, reports that it is draining", primary.id)
+	for _, service := range []string{"kani", "suru", "dele"} {
+		primary := world.Primary(world.services[service])
+		world.mutex.Lock()
+		primary.state = "draining"
+		world.mutex.Unlock()
+		primary.Publish()
+		play.record.Say("%s, the primary of %s, reports that it is draining", primary.id, service)
+	}
 	time.Sleep(10 * time.Second)
 	traffic.Stop()
 	time.Sleep(time.Second)
 	traffic.checkStrictReads()
 	traffic.checkWrites()
+	world.mutex.Lock()
+	defer world.mutex.Unlock()
+	play.record.Say("%d orders, %d of them late: %v", len(world.promotions), world.orders, world.promotions)
 }
 
 // deafenLater makes the member of an order receive nothing: at once for the first order, a
--- a/review/standins-2/member.go
+++ b/review/standins-2/member.go
@@ -61,14 +61,15 @@
 	runs        []run
 	ownRequests []string // requests without a client's id at members of watched services
 	promotions  []string
-	// late are the delays after which the next orders are carried out that get no answer.
-	// onLate is called with each of them.
-	late       []time.Duration
-	onLate     func(number int, member *Member)
-	orders     int
-	tokens     map[string]int64
-	rolledBack map[string]bool
-	record     *Recorder
+	// late are the delays after which the next orders for lateService are carried out, which
+	// get no answer. onLate is called with each of them.
+	lateService string
+	late        []time.Duration
+	onLate      func(number int, member *Member)
+	orders      int
+	tokens      map[string]int64
+	rolledBack  map[string]bool
+	record      *Recorder
 }
 
 // Service is a primary with its replicas, and their log.
@@ -552,7 +553,7 @@
 func (world *World) takeLate(service, id string) (delay time.Duration, isLate bool) {
 	world.mutex.Lock()
 	defer world.mutex.Unlock()
-	if world.orders >= len(world.late) {
+	if service != world.lateService || world.orders >= len(world.late) {
 		return 0, false
 	}
 	world.orders++
