--- a/internal/edge/directory/configuration.go
+++ b/internal/edge/directory/configuration.go
@@ -38,6 +38,7 @@
 	case kept.set != nil && set.Generation() < kept.set.Generation():
 		log.Info("older configuration ignored", "revision", item.Revision(), "version", set.Generation(), "inForce", kept.set.Generation())
 	default:
+		log.Info("configuration received", "revision", item.Revision(), "version", set.Generation())
 		kept.item, kept.set = item, set
 	}
 }
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -130,6 +130,9 @@
 // applyPage applies a page from a watcher or seed, and passes the changes on to the
 // followers of this process and to the handlers.
 func (mirror *mirror) applyPage(ctx context.Context, page ebonywood.MirrorPage) {
+	if page.IsFull() {
+		mirror.edge.port.Log().Info("mirror copied", "revision", page.Revision(), "items", len(page.Items()), "unchanged", len(page.Unchanged()))
+	}
 	mirror.merge(page)
 	mirror.keepNewestConfiguration()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.revision)
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -257,6 +257,7 @@
 			mirror.expired[key] = true
 		}
 	}
+	mirror.edge.port.Log().Info("listed", "revision", revision, "items", len(items), "heldThrough", mirror.newestRevision())
 	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
 	mirror.keepNewestConfiguration()
@@ -339,6 +340,7 @@
 	current, found := mirror.items[key]
 	switch {
 	case found && current.Revision() > change.Revision():
+		mirror.edge.port.Log().Info("change ignored", "key", key, "revision", change.Revision(), "held", current.Revision())
 	case !change.IsDeleted():
 		mirror.items[key] = change
 		delete(mirror.expired, key)
