--- a/directory.go
+++ b/directory.go
@@ -6,17 +6,17 @@
 type Item struct {
 	key      string
 	value    []byte
-	revision int64
+	revision Revision
 	deleted  bool
 }
 
 // NewItem returns an item with the value written at a revision.
-func NewItem(key string, value []byte, revision int64) Item {
+func NewItem(key string, value []byte, revision Revision) Item {
 	return Item{key: key, value: value, revision: revision}
 }
 
 // NewDeletedItem returns the tombstone of a key that was deleted at a revision.
-func NewDeletedItem(key string, revision int64) Item {
+func NewDeletedItem(key string, revision Revision) Item {
 	return Item{key: key, revision: revision, deleted: true}
 }
 
@@ -27,7 +27,7 @@
 func (item Item) Value() []byte { return item.value }
 
 // Revision returns the revision of the item's last change.
-func (item Item) Revision() int64 { return item.revision }
+func (item Item) Revision() Revision { return item.revision }
 
 // IsDeleted reports whether the item is a tombstone.
 func (item Item) IsDeleted() bool { return item.deleted }
@@ -37,24 +37,26 @@
 
 // LeaseStore is a linearizable key-value store with leases and watches. After a
 // fault of KindUnavailable a change may have taken effect, or may still take
-// effect.
+// effect. What was acknowledged in an earlier era may be lost.
 type LeaseStore interface {
 	// List reads all items under a prefix. revision is one from which Changes
 	// misses nothing. onResponse is called when a response starts to arrive, which
 	// may be several times for a list of several pages.
-	List(ctx context.Context, prefix string, onResponse func()) (items []Item, revision int64, err error)
+	List(ctx context.Context, prefix string, onResponse func()) (items []Item, revision Revision, err error)
 	// Changes waits for changes after a revision. A fault of KindStale means that
-	// the history is no longer kept, and that the caller has to list again.
-	Changes(ctx context.Context, prefix string, after int64, wait Millis) (changes []Item, revision int64, err error)
+	// the history is no longer kept or is that of an earlier era, and that the caller
+	// has to list again.
+	Changes(ctx context.Context, prefix string, after Revision, wait Millis) (changes []Item, revision Revision, err error)
 	// Create writes a key that must not exist, and returns its revision. A fault of
 	// KindConflict means that the key exists, one of KindStale that the lease has
 	// expired.
-	Create(ctx context.Context, key string, value []byte, lease LeaseID) (revision int64, err error)
+	Create(ctx context.Context, key string, value []byte, lease LeaseID) (revision Revision, err error)
 	// Replace writes a key whose revision must be the given one, and returns the
-	// new revision. A fault of KindConflict means that the revision differs.
-	Replace(ctx context.Context, key string, value []byte, lease LeaseID, revision int64) (newRevision int64, err error)
+	// new revision. A fault of KindConflict means that the revision differs, or is of
+	// an earlier era.
+	Replace(ctx context.Context, key string, value []byte, lease LeaseID, revision Revision) (newRevision Revision, err error)
 	// Put writes a key unconditionally.
-	Put(ctx context.Context, key string, value []byte, lease LeaseID) (revision int64, err error)
+	Put(ctx context.Context, key string, value []byte, lease LeaseID) (revision Revision, err error)
 	// Grant creates a lease with a time to live, which the store may raise to its
 	// minimum.
 	Grant(ctx context.Context, ttl Millis) (LeaseID, error)
@@ -84,12 +86,12 @@
 	member   Member
 	instance InstanceID
 	primary  bool
-	revision int64
+	revision Revision
 }
 
 // NewListedMember returns an entry. primary is true if the member claims to be
 // primary; revision is that of the entry.
-func NewListedMember(member Member, instance InstanceID, primary bool, revision int64) ListedMember {
+func NewListedMember(member Member, instance InstanceID, primary bool, revision Revision) ListedMember {
 	return ListedMember{member: member, instance: instance, primary: primary, revision: revision}
 }
 
@@ -103,7 +105,7 @@
 func (entry ListedMember) ClaimsPrimary() bool { return entry.primary }
 
 // Revision returns the revision of the entry.
-func (entry ListedMember) Revision() int64 { return entry.revision }
+func (entry ListedMember) Revision() Revision { return entry.revision }
 
 // MembersListed reports the complete list of members.
 type MembersListed struct {
--- a/internal/decision/succession/model_test.go
+++ b/internal/decision/succession/model_test.go
@@ -422,7 +422,7 @@
 			continue
 		}
 		entry := ebonywood.NewMember(member.id, "a", "10.0.0.1:"+string(member.id[1:]), 3, 20, member.drainingSince > 0)
-		listed = append(listed, ebonywood.NewListedMember(entry, db, member == world.primary, 1))
+		listed = append(listed, ebonywood.NewListedMember(entry, db, member == world.primary, ebonywood.NewRevision(1, 1)))
 	}
 	return listed
 }
--- a/internal/decision/succession/succession_test.go
+++ b/internal/decision/succession/succession_test.go
@@ -30,7 +30,7 @@
 
 func listed(id ebonywood.MemberID, leaving bool) ebonywood.ListedMember {
 	member := ebonywood.NewMember(id, "a", "10.0.0.1:"+string(id[1:]), 3, 20, leaving)
-	return ebonywood.NewListedMember(member, db, id == first, 1)
+	return ebonywood.NewListedMember(member, db, id == first, ebonywood.NewRevision(1, 1))
 }
 
 // newDriver starts with three members of which the first is primary, and three
--- a/internal/edge/directory/configuration.go
+++ b/internal/edge/directory/configuration.go
@@ -18,7 +18,7 @@
 	item ebonywood.Item
 	set  *ebonywood.ObjectSet
 	// lastRevision is the revision of the item that was examined last.
-	lastRevision int64
+	lastRevision ebonywood.Revision
 	// lastFailed is set if that item was invalid.
 	lastFailed bool
 }
@@ -34,11 +34,11 @@
 	kept.lastRevision, kept.lastFailed = item.Revision(), err != nil
 	switch {
 	case err != nil:
-		log.Error(err, "configuration refused", "revision", item.Revision())
+		log.Error(err, "configuration refused", "revision", item.Revision().String())
 	case kept.set != nil && set.Generation() < kept.set.Generation():
-		log.Info("older configuration ignored", "revision", item.Revision(), "version", set.Generation(), "inForce", kept.set.Generation())
+		log.Info("older configuration ignored", "revision", item.Revision().String(), "version", set.Generation(), "inForce", kept.set.Generation())
 	default:
-		log.Info("configuration received", "revision", item.Revision(), "version", set.Generation())
+		log.Info("configuration received", "revision", item.Revision().String(), "version", set.Generation())
 		kept.item, kept.set = item, set
 	}
 }
@@ -62,9 +62,9 @@
 // list of this process, if the listed one is invalid or has workspaces: without the memory of
 // earlier versions, a process can't see that the directory holds an older one. Deployments
 // without workspaces need no such request. An unchanged configuration comes without its value.
-func (mirror *mirror) askSeedsForConfiguration(ctx context.Context, listedRevision int64) {
+func (mirror *mirror) askSeedsForConfiguration(ctx context.Context, listedRevision ebonywood.Revision) {
 	kept := mirror.configuration
-	if mirror.edge.port.Relay() == nil || kept.lastRevision == 0 || !kept.lastFailed && !kept.set.RequiresWorkspace() {
+	if mirror.edge.port.Relay() == nil || kept.lastRevision.IsZero() || !kept.lastFailed && !kept.set.RequiresWorkspace() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationSeedTimeout)
@@ -85,8 +85,8 @@
 		}
 	}
 	if newest := mirror.configuration; newest.set != nil && newest.item.Revision() != kept.item.Revision() {
-		mirror.edge.port.Log().Info("configuration from a seed", "version", newest.set.Generation(), "revision", newest.item.Revision(),
-			"listedRevision", kept.lastRevision)
+		mirror.edge.port.Log().Info("configuration from a seed", "version", newest.set.Generation(), "revision", newest.item.Revision().String(),
+			"listedRevision", kept.lastRevision.String())
 	}
 }
 
@@ -102,7 +102,7 @@
 
 // applyConfiguration posts the kept configuration to the control loop, which ignores it if it
 // is in force already.
-func (mirror *mirror) applyConfiguration(ctx context.Context, _ map[string]ebonywood.Item, _ int64) {
+func (mirror *mirror) applyConfiguration(ctx context.Context, _ map[string]ebonywood.Item, _ ebonywood.Revision) {
 	if set := mirror.configuration.set; set != nil {
 		_ = mirror.edge.port.Post(ctx, ebonywood.NewObjectSetReceived(set))
 	}
--- a/internal/edge/directory/configuration_test.go
+++ b/internal/edge/directory/configuration_test.go
@@ -37,7 +37,7 @@
 	} {
 		mirror.items = map[string]ebonywood.Item{}
 		if step.revision > 0 {
-			mirror.items["configuration"] = ebonywood.NewItem("configuration", []byte(step.value), step.revision)
+			mirror.items["configuration"] = ebonywood.NewItem("configuration", []byte(step.value), atRevision(step.revision))
 		}
 		mirror.keepNewestConfiguration()
 		require.Equal(t, step.kept, string(mirror.items["configuration"].Value()), "step %d", i)
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -87,10 +87,10 @@
 	// nodeWritten is set while the node key in the directory is up to date; nodeRevision is
 	// that of its last write.
 	nodeWritten  bool
-	nodeRevision int64
+	nodeRevision ebonywood.Revision
 	// mostReports is the greatest number of proxies that the directory has listed.
 	mostReports int
-	// duty is the duty key as last applied, if dutyKnown is set; its revision is 0 while
+	// duty is the duty key as last applied, if dutyKnown is set; its revision is zero while
 	// the duty is free.
 	duty           ebonywood.Item
 	dutyKnown      bool
@@ -280,12 +280,12 @@
 
 // applyMembers posts the listed members to the control loop. Entries that can't be
 // decoded are logged and skipped.
-func (edge *Edge) applyMembers(ctx context.Context, items map[string]ebonywood.Item, _ int64) {
+func (edge *Edge) applyMembers(ctx context.Context, items map[string]ebonywood.Item, _ ebonywood.Revision) {
 	members := make([]ebonywood.ListedMember, 0, len(items))
 	for key, item := range items {
 		entry, err := decodeItem(edge.port.Directory().DecodeMember, item)
 		if err != nil {
-			edge.port.Log().Info("member ignored", "key", key, "revision", item.Revision(), "why", err.Error())
+			edge.port.Log().Info("member ignored", "key", key, "revision", item.Revision().String(), "why", err.Error())
 			continue
 		}
 		members = append(members, entry)
@@ -295,7 +295,7 @@
 
 // applyProxyKeys posts the reports of the live proxies and the state of the duty to
 // the control loop.
-func (edge *Edge) applyProxyKeys(ctx context.Context, items map[string]ebonywood.Item, revision int64) {
+func (edge *Edge) applyProxyKeys(ctx context.Context, items map[string]ebonywood.Item, revision ebonywood.Revision) {
 	var reports []ebonywood.ProxyReport
 	for key, item := range items {
 		var value nodeValue
@@ -325,36 +325,36 @@
 // applyDuty updates whether this process holds the duty from the duty key as of a
 // directory revision. It ignores revisions before that of the last known claim: the
 // mirror may not have received the claim's own change yet.
-func (edge *Edge) applyDuty(ctx context.Context, item ebonywood.Item, revision int64) {
+func (edge *Edge) applyDuty(ctx context.Context, item ebonywood.Item, revision ebonywood.Revision) {
 	edge.mutex.Lock()
-	outdated := revision < edge.duty.Revision()
+	outdated := revision.Less(edge.duty.Revision())
 	edge.mutex.Unlock()
 	if outdated {
 		return
 	}
 	var value dutyValue
-	held := item.Revision() > 0 && json.Unmarshal(item.Value(), &value) == nil && value.Nonce == edge.nonce
+	held := !item.Revision().IsZero() && json.Unmarshal(item.Value(), &value) == nil && value.Nonce == edge.nonce
 	edge.mutex.Lock()
 	changed := held != edge.holdsDuty || held && item.Revision() != edge.duty.Revision()
 	edge.holdsDuty, edge.duty, edge.dutyKnown = held, item, true
 	edge.mutex.Unlock()
 	edge.wakeKeeper()
 	if changed {
-		_ = edge.port.Post(ctx, ebonywood.NewDutyChanged(held, item.Revision()))
+		_ = edge.port.Post(ctx, ebonywood.NewDutyChanged(held, item.Revision().Number()))
 	}
 }
 
 // isDutyFree reports whether no proxy holds the duty. The mutex is held.
-func (edge *Edge) isDutyFree() bool { return edge.dutyKnown && edge.duty.Revision() == 0 }
+func (edge *Edge) isDutyFree() bool { return edge.dutyKnown && edge.duty.Revision().IsZero() }
 
 // checkNodeKey schedules a rewrite of this proxy's node key if it has been deleted by a
 // directory revision. A mirror of before the last write does not hold the key yet.
-func (edge *Edge) checkNodeKey(items map[string]ebonywood.Item, revision int64) {
+func (edge *Edge) checkNodeKey(items map[string]ebonywood.Item, revision ebonywood.Revision) {
 	if _, found := items[edge.nodeKey()]; found {
 		return
 	}
 	edge.mutex.Lock()
-	deleted := edge.nodeWritten && edge.nodeRevision > 0 && revision >= edge.nodeRevision
+	deleted := edge.nodeWritten && !edge.nodeRevision.IsZero() && !revision.Less(edge.nodeRevision)
 	if deleted {
 		edge.nodeWritten = false
 	}
--- a/internal/edge/directory/feed.go
+++ b/internal/edge/directory/feed.go
@@ -36,7 +36,7 @@
 	// lastResponseAt is the time of the last response of the directory that the mirror
 	// reflects; revision is the revision up to which the mirror is complete.
 	lastResponseAt ebonywood.Millis
-	revision       int64
+	revision       ebonywood.Revision
 	// changed is closed and replaced when the sequence number increases.
 	changed chan struct{}
 }
@@ -53,7 +53,7 @@
 
 // update replaces the content of the feed with items and wakes waiting followers if
 // anything changed. lastResponseAt and revision say how current the items are.
-func (feed *feed) update(items map[string]ebonywood.Item, lastResponseAt ebonywood.Millis, revision int64) {
+func (feed *feed) update(items map[string]ebonywood.Item, lastResponseAt ebonywood.Millis, revision ebonywood.Revision) {
 	feed.mutex.Lock()
 	defer feed.mutex.Unlock()
 	feed.revision = revision
@@ -124,9 +124,9 @@
 // fullPage returns all items for a follower that holds items up to a revision: newer
 // items with their values, and the others in unchanged without values. The mutex is
 // held.
-func (feed *feed) fullPage(revision int64) (items, unchanged []ebonywood.Item) {
+func (feed *feed) fullPage(revision ebonywood.Revision) (items, unchanged []ebonywood.Item) {
 	for _, entry := range feed.items {
-		if entry.item.Revision() <= revision {
+		if !revision.Less(entry.item.Revision()) {
 			unchanged = append(unchanged, ebonywood.NewItem(entry.item.Key(), nil, entry.item.Revision()))
 			continue
 		}
--- a/internal/edge/directory/feed_test.go
+++ b/internal/edge/directory/feed_test.go
@@ -41,13 +41,13 @@
 				if random.IntN(3) == 0 {
 					delete(held, key)
 				} else {
-					held[key] = ebonywood.NewItem(key, nil, revision)
+					held[key] = ebonywood.NewItem(key, nil, atRevision(revision))
 				}
 			}
-			source.update(held, ebonywood.Millis(step), 0)
+			source.update(held, ebonywood.Millis(step), ebonywood.Revision{})
 			if random.IntN(100) == 0 {
 				source = newFeed(fmt.Sprintf("after %d", step))
-				source.update(held, ebonywood.Millis(step), 0)
+				source.update(held, ebonywood.Millis(step), ebonywood.Revision{})
 			}
 			if random.IntN(20) == 0 {
 				// The follower switches to another mirror and back.
@@ -68,15 +68,15 @@
 // that the page lists as unchanged is missing.
 func TestSwitchingMirrorsTransfersNoHeldValues(t *testing.T) {
 	held := map[string]ebonywood.Item{
-		"long": ebonywood.NewItem("long", make([]byte, 1<<20), 1), "gone": ebonywood.NewItem("gone", nil, 2),
+		"long": ebonywood.NewItem("long", make([]byte, 1<<20), atRevision(1)), "gone": ebonywood.NewItem("gone", nil, atRevision(2)),
 	}
 	first, second := newFeed("first"), newFeed("second")
-	first.update(held, 0, 0)
+	first.update(held, 0, ebonywood.Revision{})
 	follower := newMirror(nil)
 	follower.merge(first.changesSince(cancelledContext(), ebonywood.Cursor{}, fixedClock(0)))
 	delete(held, "gone")
-	held["new"] = ebonywood.NewItem("new", []byte("n"), 3)
-	second.update(held, 0, 0)
+	held["new"] = ebonywood.NewItem("new", []byte("n"), atRevision(3))
+	second.update(held, 0, ebonywood.Revision{})
 	page := second.changesSince(cancelledContext(), ebonywood.Cursor{}.WithRevision(follower.newestRevision()), fixedClock(0))
 	require.Len(t, page.Items(), 1)
 	require.Len(t, page.Unchanged(), 1)
@@ -94,11 +94,11 @@
 // the retained deletions receives a full page.
 func TestEvictedDeletionsForceFullPage(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{"first": ebonywood.NewItem("first", nil, 1)}, 0, 0)
+	source.update(map[string]ebonywood.Item{"first": ebonywood.NewItem("first", nil, atRevision(1))}, 0, ebonywood.Revision{})
 	behind := source.changesSince(cancelledContext(), ebonywood.Cursor{}, fixedClock(0)).Cursor()
 	for i := range maxDeletions + 10 {
 		key := fmt.Sprintf("k%d", i)
-		source.update(map[string]ebonywood.Item{key: ebonywood.NewItem(key, nil, int64(i+2))}, 0, 0)
+		source.update(map[string]ebonywood.Item{key: ebonywood.NewItem(key, nil, atRevision(int64(i+2)))}, 0, ebonywood.Revision{})
 	}
 	page := source.changesSince(cancelledContext(), behind, fixedClock(0))
 	require.True(t, page.IsFull())
@@ -109,12 +109,12 @@
 // date.
 func TestChangeEndsTheWait(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{}, 0, 0)
+	source.update(map[string]ebonywood.Item{}, 0, ebonywood.Revision{})
 	cursor := source.changesSince(cancelledContext(), ebonywood.Cursor{}, fixedClock(0)).Cursor()
 	pages := make(chan ebonywood.MirrorPage, 1)
 	go func() { pages <- source.changesSince(context.Background(), cursor, fixedClock(7)) }()
 	time.Sleep(20 * time.Millisecond)
-	source.update(map[string]ebonywood.Item{"k": ebonywood.NewItem("k", nil, 1)}, 5, 0)
+	source.update(map[string]ebonywood.Item{"k": ebonywood.NewItem("k", nil, atRevision(1))}, 5, ebonywood.Revision{})
 	page := <-pages
 	require.Len(t, page.Items(), 1)
 	require.Equal(t, ebonywood.Millis(2), page.Age())
@@ -124,7 +124,7 @@
 // changes, so that its followers can switch.
 func TestStaleMirrorRespondsImmediately(t *testing.T) {
 	source := newFeed("e")
-	source.update(map[string]ebonywood.Item{}, 0, 0)
+	source.update(map[string]ebonywood.Item{}, 0, ebonywood.Revision{})
 	cursor := source.changesSince(cancelledContext(), ebonywood.Cursor{}, fixedClock(0)).Cursor()
 	page := source.changesSince(context.Background(), cursor, fixedClock(maxMirrorAge+5))
 	require.Equal(t, maxMirrorAge+5, page.Age())
@@ -178,7 +178,7 @@
 // TestStaleWatcherIsRejected checks that a follower of a stale watcher first watches the
 // directory itself and later follows another watcher.
 func TestStaleWatcherIsRejected(t *testing.T) {
-	item := ebonywood.NewItem("members/m0", nil, 3)
+	item := ebonywood.NewItem("members/m0", nil, atRevision(3))
 	ages := map[string]ebonywood.Millis{"near": 10, "far": 20}
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
 		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{item}, ages[address]), nil
@@ -222,7 +222,7 @@
 // TestRefusedFollowerTriesAnotherWatcher checks that a follower whose watcher is stale
 // chooses another watcher when the directory refuses its own calls.
 func TestRefusedFollowerTriesAnotherWatcher(t *testing.T) {
-	item := ebonywood.NewItem("members/m0", nil, 3)
+	item := ebonywood.NewItem("members/m0", nil, atRevision(3))
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
 		age := ebonywood.Millis(10)
 		if address == "near" {
@@ -232,8 +232,8 @@
 	}}
 	mirror := newFollower(t, relay, near, far)
 	port := mirror.edge.port.(fakePort)
-	port.directory = &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
-		return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
+	port.directory = &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, ebonywood.Revision, error) {
+		return nil, ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
 	}}
 	mirror.edge.port = port
 	peer, _ := mirror.upstream()
@@ -251,15 +251,15 @@
 // which is rejected if it stays behind.
 func TestOutdatedMirrorDoesNotRevokeClaim(t *testing.T) {
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
-		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, nil, 10).WithRevision(49), nil
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, nil, 10).WithRevision(atRevision(49)), nil
 	}}
 	mirror := newFollower(t, relay, far)
 	edge := mirror.edge
-	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), 50), 50)
+	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), atRevision(50)), atRevision(50))
 	require.True(t, edge.holdsDuty)
-	edge.applyProxyKeys(t.Context(), nil, 49)
+	edge.applyProxyKeys(t.Context(), nil, atRevision(49))
 	require.True(t, edge.holdsDuty, "the mirror is behind")
-	mirror.items, mirror.revision = map[string]ebonywood.Item{dutyKey: ebonywood.NewItem(dutyKey, edge.claimValue(), 50)}, 50
+	mirror.items, mirror.revision = map[string]ebonywood.Item{dutyKey: ebonywood.NewItem(dutyKey, edge.claimValue(), atRevision(50))}, atRevision(50)
 	for range maxBehindTries {
 		mirror.followPeer(t.Context(), far)
 		require.Contains(t, mirror.items, dutyKey)
@@ -271,7 +271,7 @@
 	require.Contains(t, mirror.items, dutyKey)
 	require.True(t, edge.holdsDuty)
 	require.True(t, mirror.watchesDirectly())
-	edge.applyProxyKeys(t.Context(), nil, 51)
+	edge.applyProxyKeys(t.Context(), nil, atRevision(51))
 	require.False(t, edge.holdsDuty, "the key was deleted")
 }
 
@@ -279,7 +279,7 @@
 // the directory does not respond to it.
 func TestRefusedWatcherFollowsAnother(t *testing.T) {
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
-		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{ebonywood.NewItem("k", nil, 1)}, 10), nil
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{ebonywood.NewItem("k", nil, atRevision(1))}, 10), nil
 	}}
 	mirror := newFollower(t, relay, ebonywood.NewPeerView("self", "a", "self"), far)
 	_, found := mirror.upstream()
@@ -298,13 +298,13 @@
 // TestFollowerContinuesAtWatcherRevision checks that a follower whose watcher failed
 // watches the directory from the revision of that watcher's mirror, without a list.
 func TestFollowerContinuesAtWatcherRevision(t *testing.T) {
-	first, second := ebonywood.NewItem("members/m0", nil, 3), ebonywood.NewItem("members/m1", nil, 8)
+	first, second := ebonywood.NewItem("members/m0", nil, atRevision(3)), ebonywood.NewItem("members/m1", nil, atRevision(8))
 	failing := false
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
 		if failing {
 			return ebonywood.MirrorPage{}, errors.New("connection refused")
 		}
-		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{first}, 10).WithRevision(7), nil
+		return ebonywood.NewMirrorPage(ebonywood.NewCursor(address, 1), true, []ebonywood.Item{first}, 10).WithRevision(atRevision(7)), nil
 	}}
 	mirror := newFollower(t, relay, near)
 	mirror.followPeer(t.Context(), near)
@@ -313,17 +313,17 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	port := mirror.edge.port.(fakePort)
 	port.directory = &fakeDirectory{
-		list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+		list: func(context.Context, int64) ([]ebonywood.Item, ebonywood.Revision, error) {
 			t.Error("no list is needed")
-			return nil, 0, nil
+			return nil, ebonywood.Revision{}, nil
 		},
-		changes: func(after int64) ([]ebonywood.Item, int64, error) {
-			if after == 8 {
+		changes: func(after ebonywood.Revision) ([]ebonywood.Item, ebonywood.Revision, error) {
+			if after == atRevision(8) {
 				cancel()
-				return nil, 8, nil
+				return nil, atRevision(8), nil
 			}
-			require.Equal(t, int64(7), after)
-			return []ebonywood.Item{second}, 8, nil
+			require.Equal(t, atRevision(7), after)
+			return []ebonywood.Item{second}, atRevision(8), nil
 		},
 	}
 	mirror.edge.port = port
@@ -334,7 +334,7 @@
 // TestStartFromSeeds checks that a process that starts while the directory refuses it
 // takes the items of a seed, whatever their age.
 func TestStartFromSeeds(t *testing.T) {
-	item := ebonywood.NewItem("members/m0", nil, 3)
+	item := ebonywood.NewItem("members/m0", nil, atRevision(3))
 	relay := &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) {
 		if address == "s1" {
 			return ebonywood.MirrorPage{}, errors.New("connection refused")
@@ -353,13 +353,13 @@
 // that has long been refused, too. A member that has left since and a route that was
 // removed must not come back.
 func TestStartFromTheNewestSeed(t *testing.T) {
-	left, present := ebonywood.NewItem("members/left", nil, 3), ebonywood.NewItem("members/present", nil, 9)
+	left, present := ebonywood.NewItem("members/left", nil, atRevision(3)), ebonywood.NewItem("members/present", nil, atRevision(9))
 	pages := map[string]ebonywood.MirrorPage{
-		"s1": ebonywood.NewMirrorPage(ebonywood.NewCursor("s1", 1), true, []ebonywood.Item{left}, 60_000).WithRevision(4),
-		"s2": ebonywood.NewMirrorPage(ebonywood.NewCursor("s2", 1), true, []ebonywood.Item{present}, 10).WithRevision(9),
+		"s1": ebonywood.NewMirrorPage(ebonywood.NewCursor("s1", 1), true, []ebonywood.Item{left}, 60_000).WithRevision(atRevision(4)),
+		"s2": ebonywood.NewMirrorPage(ebonywood.NewCursor("s2", 1), true, []ebonywood.Item{present}, 10).WithRevision(atRevision(9)),
 	}
 	mirror := newFollower(t, &fakeRelay{fetch: func(address string) (ebonywood.MirrorPage, error) { return pages[address], nil }})
 	mirror.fetchFromSeeds(t.Context())
 	require.Equal(t, map[string]ebonywood.Item{"members/present": present}, mirror.items)
-	require.Equal(t, int64(9), mirror.revision)
+	require.Equal(t, atRevision(9), mirror.revision)
 }
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -105,7 +105,7 @@
 		return
 	case page.Age() > maxMirrorAge:
 		reason = "its mirror is stale"
-	case page.Revision() >= mirror.revision:
+	case !page.Revision().Less(mirror.revision):
 		mirror.behindTries = 0
 		mirror.applyPage(ctx, page)
 		mirror.confirm(ctx, mirror.confirmedAsOf(sentAt, followWait, len(page.Items()))-page.Age())
@@ -131,7 +131,7 @@
 // followers of this process and to the handlers.
 func (mirror *mirror) applyPage(ctx context.Context, page ebonywood.MirrorPage) {
 	if page.IsFull() {
-		mirror.edge.port.Log().Info("mirror copied", "revision", page.Revision(), "items", len(page.Items()), "unchanged", len(page.Unchanged()))
+		mirror.edge.port.Log().Info("mirror copied", "revision", page.Revision().String(), "items", len(page.Items()), "unchanged", len(page.Unchanged()))
 	}
 	mirror.merge(page)
 	mirror.keepNewestConfiguration()
@@ -163,7 +163,7 @@
 	for _, entry := range page.Unchanged() {
 		local, found := mirror.items[entry.Key()]
 		if !found || local.Revision() != entry.Revision() {
-			mirror.cursor, mirror.revision = ebonywood.Cursor{}, 0
+			mirror.cursor, mirror.revision = ebonywood.Cursor{}, ebonywood.Revision{}
 			continue
 		}
 		items[entry.Key()] = local
@@ -172,10 +172,9 @@
 }
 
 // newestRevision returns the highest revision of the held items.
-func (mirror *mirror) newestRevision() int64 {
-	revision := int64(0)
+func (mirror *mirror) newestRevision() (revision ebonywood.Revision) {
 	for _, item := range mirror.items {
-		revision = max(revision, item.Revision())
+		revision = revision.Max(item.Revision())
 	}
 	return revision
 }
@@ -189,8 +188,8 @@
 // isNewerThan reports whether the page reflects a later state of the directory, or the
 // same state more recently.
 func (own seedPage) isNewerThan(other seedPage) bool {
-	if own.page.Revision() != other.page.Revision() {
-		return own.page.Revision() > other.page.Revision()
+	if order := own.page.Revision().Compare(other.page.Revision()); order != 0 {
+		return order > 0
 	}
 	return own.page.Age() < other.page.Age()
 }
--- a/internal/edge/directory/keeper_test.go
+++ b/internal/edge/directory/keeper_test.go
@@ -15,16 +15,16 @@
 	fake := &fakeDirectory{}
 	edge := New(fakePort{directory: fake})
 	keeper := &keeper{edge: edge}
-	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), 50), 50)
+	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), atRevision(50)), atRevision(50))
 	require.True(t, edge.Perform(ebonywood.RenewToken{}))
-	fake.replace = func() (int64, error) { return 0, failure }
+	fake.replace = func() (ebonywood.Revision, error) { return ebonywood.Revision{}, failure }
 	for range 3 {
 		require.Error(t, keeper.renewToken(t.Context()))
 		require.True(t, edge.renewRequested)
 	}
-	fake.replace = func() (int64, error) { return 60, nil }
+	fake.replace = func() (ebonywood.Revision, error) { return atRevision(60), nil }
 	require.NoError(t, keeper.renewToken(t.Context()))
 	require.False(t, edge.renewRequested)
-	require.Equal(t, int64(60), edge.duty.Revision())
+	require.Equal(t, atRevision(60), edge.duty.Revision())
 	require.True(t, edge.holdsDuty)
 }
--- a/internal/edge/directory/memorystore_test.go
+++ b/internal/edge/directory/memorystore_test.go
@@ -14,6 +14,7 @@
 type memoryStore struct {
 	mutex    sync.Mutex
 	revision int64
+	era      ebonywood.Era
 	items    map[string]ebonywood.Item
 	leaseOf  map[string]ebonywood.LeaseID
 	history  []ebonywood.Item
@@ -28,11 +29,19 @@
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{
-		items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{}, changed: make(chan struct{}),
+		era: 1, items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{}, changed: make(chan struct{}),
 		leases: map[ebonywood.LeaseID]*time.Timer{}, ttls: map[ebonywood.LeaseID]time.Duration{}, calls: map[string]int{},
 	}
 }
 
+// atRevision returns the revision with a number in the first era.
+func atRevision(number int64) ebonywood.Revision { return ebonywood.NewRevision(1, number) }
+
+// now returns the revision of the last change; the mutex is held.
+func (store *memoryStore) now() ebonywood.Revision {
+	return ebonywood.NewRevision(store.era, store.revision)
+}
+
 // takeCalls returns the calls since the last time by purpose.
 func (store *memoryStore) takeCalls() map[string]int {
 	store.mutex.Lock()
@@ -77,7 +86,7 @@
 		if owner == lease {
 			delete(store.leaseOf, key)
 			store.revision++
-			store.write(ebonywood.NewDeletedItem(key, store.revision))
+			store.write(ebonywood.NewDeletedItem(key, store.now()))
 		}
 	}
 }
@@ -120,9 +129,9 @@
 func (client *storeClient) ConfigurationKey() string { return "configuration" }
 func (client *storeClient) MemberPrefix() string     { return "members/" }
 
-func (client *storeClient) List(_ context.Context, _ string, onResponse func()) ([]ebonywood.Item, int64, error) {
+func (client *storeClient) List(_ context.Context, _ string, onResponse func()) ([]ebonywood.Item, ebonywood.Revision, error) {
 	if err := client.count("list"); err != nil {
-		return nil, 0, err
+		return nil, ebonywood.Revision{}, err
 	}
 	defer client.store.mutex.Unlock()
 	onResponse()
@@ -130,69 +139,69 @@
 	for _, item := range client.store.items {
 		items = append(items, item)
 	}
-	return items, client.store.revision, nil
+	return items, client.store.now(), nil
 }
 
-func (client *storeClient) Changes(ctx context.Context, _ string, after int64, wait ebonywood.Millis) ([]ebonywood.Item, int64, error) {
+func (client *storeClient) Changes(ctx context.Context, _ string, after ebonywood.Revision, wait ebonywood.Millis) ([]ebonywood.Item, ebonywood.Revision, error) {
 	if err := client.count("watch"); err != nil {
-		return nil, 0, err
+		return nil, ebonywood.Revision{}, err
 	}
 	store := client.store
 	defer store.mutex.Unlock()
 	timeout := time.After(wait.Duration())
-	for store.revision <= after {
+	for !after.Less(store.now()) {
 		changed := store.changed
 		store.mutex.Unlock()
 		select {
 		case <-changed:
 		case <-timeout:
 			store.mutex.Lock()
-			return nil, store.revision, nil
+			return nil, store.now(), nil
 		case <-ctx.Done():
 			store.mutex.Lock()
-			return nil, 0, errDead
+			return nil, ebonywood.Revision{}, errDead
 		}
 		store.mutex.Lock()
 		if store.down {
-			return nil, 0, errDown
+			return nil, ebonywood.Revision{}, errDown
 		}
 	}
 	var changes []ebonywood.Item
-	for i := len(store.history) - 1; i >= 0 && store.history[i].Revision() > after; i-- {
+	for i := len(store.history) - 1; i >= 0 && after.Less(store.history[i].Revision()); i-- {
 		changes = append(changes, store.history[i])
 	}
 	slices.Reverse(changes)
-	return changes, store.revision, nil
+	return changes, store.now(), nil
 }
 
-func (client *storeClient) Create(_ context.Context, key string, value []byte, lease ebonywood.LeaseID) (int64, error) {
+func (client *storeClient) Create(_ context.Context, key string, value []byte, lease ebonywood.LeaseID) (ebonywood.Revision, error) {
 	if err := client.count("create"); err != nil {
-		return 0, err
+		return ebonywood.Revision{}, err
 	}
 	defer client.store.mutex.Unlock()
 	if _, found := client.store.items[key]; found {
-		return 0, ebonywood.NewFault(ebonywood.KindConflict, "the key exists", "")
+		return ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindConflict, "the key exists", "")
 	}
 	return client.put(key, value, lease)
 }
 
-func (client *storeClient) Put(_ context.Context, key string, value []byte, lease ebonywood.LeaseID) (int64, error) {
+func (client *storeClient) Put(_ context.Context, key string, value []byte, lease ebonywood.LeaseID) (ebonywood.Revision, error) {
 	if err := client.count("put"); err != nil {
-		return 0, err
+		return ebonywood.Revision{}, err
 	}
 	defer client.store.mutex.Unlock()
 	return client.put(key, value, lease)
 }
 
-func (client *storeClient) put(key string, value []byte, lease ebonywood.LeaseID) (int64, error) {
+func (client *storeClient) put(key string, value []byte, lease ebonywood.LeaseID) (ebonywood.Revision, error) {
 	store := client.store
 	if _, found := store.leases[lease]; !found {
-		return 0, ebonywood.NewFault(ebonywood.KindStale, "no such lease", "")
+		return ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindStale, "no such lease", "")
 	}
 	store.revision++
 	store.leaseOf[key] = lease
-	store.write(ebonywood.NewItem(key, value, store.revision))
-	return store.revision, nil
+	store.write(ebonywood.NewItem(key, value, store.now()))
+	return store.now(), nil
 }
 
 func (client *storeClient) Grant(_ context.Context, ttl ebonywood.Millis) (ebonywood.LeaseID, error) {
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -55,8 +55,8 @@
 	// expired contains the keys of retained entries that the directory no longer holds.
 	expired map[string]bool
 	// revision is the revision of the directory up to which items contains every
-	// change; 0 if the directory has to be listed.
-	revision int64
+	// change; zero if the directory has to be listed.
+	revision ebonywood.Revision
 	// failures is the number of consecutive failed calls.
 	failures int
 	// upstreamAddress is the address of the watcher that this process follows, cursor
@@ -73,7 +73,7 @@
 // prefixHandler receives all items under a prefix whenever one of them changes.
 type prefixHandler struct {
 	prefix string
-	handle func(ctx context.Context, items map[string]ebonywood.Item, revision int64)
+	handle func(ctx context.Context, items map[string]ebonywood.Item, revision ebonywood.Revision)
 }
 
 func newMirror(edge *Edge) *mirror {
@@ -118,7 +118,7 @@
 // had reached, because a new list takes long over a slow link.
 func (mirror *mirror) watchDirectory(ctx context.Context) {
 	mirror.upstreamAddress = ""
-	if mirror.revision == 0 && !mirror.initialize(ctx) {
+	if mirror.revision.IsZero() && !mirror.initialize(ctx) {
 		return
 	}
 	for ctx.Err() == nil {
@@ -131,8 +131,8 @@
 			continue
 		}
 		if ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
-			mirror.edge.port.Log().Info("history gone", "at", mirror.revision, "why", err.Error())
-			mirror.revision = 0
+			mirror.edge.port.Log().Info("history gone", "at", mirror.revision.String(), "why", err.Error())
+			mirror.revision = ebonywood.Revision{}
 			return
 		}
 		// The directory may refuse only this process; another watcher may still reach it.
@@ -188,14 +188,14 @@
 // listResult is the result of one attempt to list.
 type listResult struct {
 	items    []ebonywood.Item
-	revision int64
+	revision ebonywood.Revision
 	err      error
 }
 
 // list reads all keys. The directory may never respond to a call that it received
 // while it was unavailable, so list starts further attempts in parallel until a
 // response starts to arrive. The first success is returned.
-func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, int64, error) {
+func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, ebonywood.Revision, error) {
 	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
 	results := make(chan listResult, maxListAttempts)
@@ -257,7 +257,7 @@
 			mirror.expired[key] = true
 		}
 	}
-	mirror.edge.port.Log().Info("listed", "revision", revision, "items", len(items), "heldThrough", mirror.newestRevision())
+	mirror.edge.port.Log().Info("listed", "revision", revision.String(), "items", len(items), "heldThrough", mirror.newestRevision().String())
 	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
 	mirror.keepNewestConfiguration()
@@ -314,7 +314,7 @@
 		mirror.directUntil = 0
 		clear(mirror.rejectedUntil)
 	}
-	mirror.revision, mirror.failures = max(mirror.revision, revision), 0
+	mirror.revision, mirror.failures = mirror.revision.Max(revision), 0
 	for _, change := range changes {
 		mirror.applyChange(change)
 	}
@@ -339,8 +339,8 @@
 	key := change.Key()
 	current, found := mirror.items[key]
 	switch {
-	case found && current.Revision() > change.Revision():
-		mirror.edge.port.Log().Info("change ignored", "key", key, "revision", change.Revision(), "held", current.Revision())
+	case found && change.Revision().Less(current.Revision()):
+		mirror.edge.port.Log().Info("change ignored", "key", key, "revision", change.Revision().String(), "held", current.Revision().String())
 	case !change.IsDeleted():
 		mirror.items[key] = change
 		delete(mirror.expired, key)
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -21,23 +21,23 @@
 	calls atomic.Int64
 	// arriving makes responses start to arrive immediately.
 	arriving bool
-	changes  func(after int64) ([]ebonywood.Item, int64, error)
-	list     func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error)
-	replace  func() (int64, error)
+	changes  func(after ebonywood.Revision) ([]ebonywood.Item, ebonywood.Revision, error)
+	list     func(ctx context.Context, call int64) ([]ebonywood.Item, ebonywood.Revision, error)
+	replace  func() (ebonywood.Revision, error)
 }
 
-func (fake *fakeDirectory) Replace(context.Context, string, []byte, ebonywood.LeaseID, int64) (int64, error) {
+func (fake *fakeDirectory) Replace(context.Context, string, []byte, ebonywood.LeaseID, ebonywood.Revision) (ebonywood.Revision, error) {
 	return fake.replace()
 }
 
-func (fake *fakeDirectory) List(ctx context.Context, _ string, onResponse func()) ([]ebonywood.Item, int64, error) {
+func (fake *fakeDirectory) List(ctx context.Context, _ string, onResponse func()) ([]ebonywood.Item, ebonywood.Revision, error) {
 	if fake.arriving {
 		onResponse()
 	}
 	return fake.list(ctx, fake.calls.Add(1))
 }
 
-func (fake *fakeDirectory) Changes(_ context.Context, _ string, after int64, _ ebonywood.Millis) ([]ebonywood.Item, int64, error) {
+func (fake *fakeDirectory) Changes(_ context.Context, _ string, after ebonywood.Revision, _ ebonywood.Millis) ([]ebonywood.Item, ebonywood.Revision, error) {
 	return fake.changes(after)
 }
 
@@ -100,23 +100,23 @@
 // first gets no response, like a call that the directory received while it was
 // unavailable.
 func TestListThatHangsIsNotWaitedFor(t *testing.T) {
-	item := ebonywood.NewItem("members/m0", nil, 3)
-	mirror := newTestMirror(t, &fakeDirectory{list: func(ctx context.Context, call int64) ([]ebonywood.Item, int64, error) {
+	item := ebonywood.NewItem("members/m0", nil, atRevision(3))
+	mirror := newTestMirror(t, &fakeDirectory{list: func(ctx context.Context, call int64) ([]ebonywood.Item, ebonywood.Revision, error) {
 		if call == 1 {
 			<-ctx.Done()
-			return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "no response", "")
+			return nil, ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindUnavailable, "no response", "")
 		}
-		return []ebonywood.Item{item}, 7, nil
+		return []ebonywood.Item{item}, atRevision(7), nil
 	}})
 	require.NoError(t, mirror.relist(context.Background()))
-	require.Equal(t, int64(7), mirror.revision)
+	require.Equal(t, atRevision(7), mirror.revision)
 	require.Contains(t, mirror.items, "members/m0")
 }
 
 // TestFailedListsEnd checks that list returns an error after all attempts have failed.
 func TestFailedListsEnd(t *testing.T) {
-	mirror := newTestMirror(t, &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
-		return nil, 0, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
+	mirror := newTestMirror(t, &fakeDirectory{list: func(context.Context, int64) ([]ebonywood.Item, ebonywood.Revision, error) {
+		return nil, ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindUnavailable, "refused", "")
 	}})
 	require.Error(t, mirror.relist(context.Background()))
 }
@@ -126,12 +126,12 @@
 // expiredRetention.
 func TestExpiredEntriesArePurged(t *testing.T) {
 	mirror := newTestMirror(t, &fakeDirectory{})
-	staying := ebonywood.NewItem("members/m0", nil, 3)
-	leaving := ebonywood.NewItem("members/m1", []byte("leaving"), 4)
+	staying := ebonywood.NewItem("members/m0", nil, atRevision(3))
+	leaving := ebonywood.NewItem("members/m1", []byte("leaving"), atRevision(4))
 	mirror.items = map[string]ebonywood.Item{staying.Key(): staying, leaving.Key(): leaving}
 	mirror.edge.recoveredAt = time.Now()
-	mirror.applyChange(ebonywood.NewDeletedItem(staying.Key(), 5))
-	mirror.applyChange(ebonywood.NewDeletedItem(leaving.Key(), 6))
+	mirror.applyChange(ebonywood.NewDeletedItem(staying.Key(), atRevision(5)))
+	mirror.applyChange(ebonywood.NewDeletedItem(leaving.Key(), atRevision(6)))
 	require.Contains(t, mirror.items, staying.Key())
 	require.NotContains(t, mirror.items, leaving.Key())
 	require.False(t, mirror.purgeExpired())
@@ -144,19 +144,19 @@
 // revert a newer item when the watch delivers it again.
 func TestOldChangesAreIgnored(t *testing.T) {
 	mirror := newTestMirror(t, &fakeDirectory{})
-	mirror.items = map[string]ebonywood.Item{"members/m0": ebonywood.NewItem("members/m0", []byte("new"), 9)}
-	mirror.applyChange(ebonywood.NewItem("members/m0", []byte("old"), 5))
-	mirror.applyChange(ebonywood.NewDeletedItem("members/m0", 6))
-	require.Equal(t, int64(9), mirror.items["members/m0"].Revision())
+	mirror.items = map[string]ebonywood.Item{"members/m0": ebonywood.NewItem("members/m0", []byte("new"), atRevision(9))}
+	mirror.applyChange(ebonywood.NewItem("members/m0", []byte("old"), atRevision(5)))
+	mirror.applyChange(ebonywood.NewDeletedItem("members/m0", atRevision(6)))
+	require.Equal(t, atRevision(9), mirror.items["members/m0"].Revision())
 }
 
 // TestSlowListIsWaitedFor checks that no further attempt starts once a response starts
 // to arrive, since parallel responses would share the bandwidth of a slow link.
 func TestSlowListIsWaitedFor(t *testing.T) {
-	item := ebonywood.NewItem("members/m0", nil, 3)
-	fake := &fakeDirectory{arriving: true, list: func(context.Context, int64) ([]ebonywood.Item, int64, error) {
+	item := ebonywood.NewItem("members/m0", nil, atRevision(3))
+	fake := &fakeDirectory{arriving: true, list: func(context.Context, int64) ([]ebonywood.Item, ebonywood.Revision, error) {
 		time.Sleep(listFirstByteTimeout + 200*time.Millisecond)
-		return []ebonywood.Item{item}, 3, nil
+		return []ebonywood.Item{item}, atRevision(3), nil
 	}}
 	items, _, err := newTestMirror(t, fake).list(context.Background())
 	require.NoError(t, err)
@@ -171,14 +171,14 @@
 	var posted ebonywood.Event
 	edge := New(fakePort{directory: &fakeDirectory{}, posted: &posted})
 	edge.applyMembers(t.Context(), map[string]ebonywood.Item{
-		"members/m0": ebonywood.NewItem("members/m0", []byte("malformed"), 1),
-		"members/m1": ebonywood.NewItem("members/m1", nil, 2),
-	}, 2)
+		"members/m0": ebonywood.NewItem("members/m0", []byte("malformed"), atRevision(1)),
+		"members/m1": ebonywood.NewItem("members/m1", nil, atRevision(2)),
+	}, atRevision(2))
 	require.Len(t, posted.(ebonywood.MembersListed).Members(), 1)
 	mirror := newMirror(edge)
-	mirror.items = map[string]ebonywood.Item{"configuration": ebonywood.NewItem("configuration", nil, 3)}
+	mirror.items = map[string]ebonywood.Item{"configuration": ebonywood.NewItem("configuration", nil, atRevision(3))}
 	mirror.keepNewestConfiguration()
-	mirror.applyConfiguration(t.Context(), mirror.items, 3)
+	mirror.applyConfiguration(t.Context(), mirror.items, atRevision(3))
 	require.IsType(t, ebonywood.MembersListed{}, posted, "the previous configuration stays in force")
 }
 
@@ -193,16 +193,16 @@
 		changes   []ebonywood.Item
 		confirmed ebonywood.Millis
 	}{
-		{late, []ebonywood.Item{ebonywood.NewItem("members/m0", nil, 4)}, 0},
+		{late, []ebonywood.Item{ebonywood.NewItem("members/m0", nil, atRevision(4))}, 0},
 		{late, nil, 0},
 		{wait.Duration() + late, nil, wait},
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			var posted ebonywood.Event
 			clock := startClock{start: time.Now()}
-			edge := New(timedPort{fakePort: fakePort{posted: &posted, directory: &fakeDirectory{changes: func(int64) ([]ebonywood.Item, int64, error) {
+			edge := New(timedPort{fakePort: fakePort{posted: &posted, directory: &fakeDirectory{changes: func(ebonywood.Revision) ([]ebonywood.Item, ebonywood.Revision, error) {
 				time.Sleep(test.delay)
-				return test.changes, 4, nil
+				return test.changes, atRevision(4), nil
 			}}}, clock: clock})
 			mirror := newMirror(edge)
 			mirror.items = map[string]ebonywood.Item{}
--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -41,10 +41,10 @@
 	edge   *Edge
 	number int
 	nonce  string
-	// lease, revision and settled belong to the goroutine that runs the claim. revision is 0
+	// lease, revision and settled belong to the goroutine that runs the claim. revision is zero
 	// if it is not known.
 	lease    ebonywood.LeaseID
-	revision int64
+	revision ebonywood.Revision
 	settled  bool
 
 	mutex sync.Mutex
@@ -203,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	if former > 0 {
+	if !former.IsZero() {
 		claim.revision, err = directory.Replace(callCtx, claim.key(), claim.value(), lease, former)
 		return err
 	}
@@ -213,18 +213,18 @@
 
 // formerRun returns the revision of the key if the directory lists it as that of a settled
 // holder with the name of this process.
-func (claim *claim) formerRun(ctx context.Context) (int64, error) {
+func (claim *claim) formerRun(ctx context.Context) (revision ebonywood.Revision, err error) {
 	settings := claim.edge.port.Settings()
 	listed := false
 	for _, allocator := range claim.edge.port.Snapshot().Allocators() {
 		listed = listed || allocator.Number() == claim.number && allocator.Holder() == settings.Name() && allocator.IsSettled()
 	}
 	if !listed {
-		return 0, nil
+		return revision, nil
 	}
 	items, _, err := claim.edge.port.Directory().List(ctx, claim.key(), func() {})
 	if err != nil {
-		return 0, err
+		return revision, err
 	}
 	for _, item := range items {
 		var value keyValue
@@ -232,7 +232,7 @@
 			return item.Revision(), nil
 		}
 	}
-	return 0, nil
+	return revision, nil
 }
 
 func (claim *claim) key() string { return ebonywood.AllocatorKey(claim.number) }
@@ -276,14 +276,14 @@
 // settle writes into the key that all tokens of earlier holders have expired. It is tried
 // once; if its outcome is unknown, the key counts as not settled.
 func (claim *claim) settle(ctx context.Context) error {
-	if claim.settled || claim.revision == 0 || claim.edge.now() < claim.allocator.StartedAt()+claim.edge.life {
+	if claim.settled || claim.revision.IsZero() || claim.edge.now() < claim.allocator.StartedAt()+claim.edge.life {
 		return nil
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	claim.settled = true
 	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(), claim.lease, claim.revision)
-	claim.settled, claim.revision = err == nil, 0
+	claim.settled, claim.revision = err == nil, ebonywood.Revision{}
 	return err
 }
 
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -54,6 +54,9 @@
 	calls    int
 }
 
+// now returns the revision of the last change; the mutex is held.
+func (store *memoryStore) now() ebonywood.Revision { return ebonywood.NewRevision(1, store.revision) }
+
 // storeClient is the store as one proxy reaches it.
 type storeClient struct {
 	*memoryStore
@@ -127,38 +130,40 @@
 	return nil
 }
 
-func (client storeClient) Create(ctx context.Context, key string, value []byte, lease ebonywood.LeaseID) (int64, error) {
-	return client.Replace(ctx, key, value, lease, 0)
+func (client storeClient) Create(ctx context.Context, key string, value []byte, lease ebonywood.LeaseID) (ebonywood.Revision, error) {
+	return client.Replace(ctx, key, value, lease, ebonywood.Revision{})
 }
 
-func (client storeClient) Replace(_ context.Context, key string, value []byte, lease ebonywood.LeaseID, revision int64) (int64, error) {
+func (client storeClient) Replace(
+	_ context.Context, key string, value []byte, lease ebonywood.LeaseID, revision ebonywood.Revision,
+) (ebonywood.Revision, error) {
 	if err := client.enter(); err != nil {
-		return 0, err
+		return ebonywood.Revision{}, err
 	}
 	store := client.memoryStore
 	defer store.mutex.Unlock()
 	if store.items[key].Revision() != revision {
-		return 0, ebonywood.NewFault(ebonywood.KindConflict, "another revision", "")
+		return ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindConflict, "another revision", "")
 	}
 	if _, found := store.leases[lease]; !found {
-		return 0, ebonywood.NewFault(ebonywood.KindStale, "no such lease", "")
+		return ebonywood.Revision{}, ebonywood.NewFault(ebonywood.KindStale, "no such lease", "")
 	}
 	store.revision++
-	store.items[key], store.leaseOf[key] = ebonywood.NewItem(key, value, store.revision), lease
+	store.items[key], store.leaseOf[key] = ebonywood.NewItem(key, value, store.now()), lease
 	store.fleet.list()
-	return store.revision, nil
+	return store.now(), nil
 }
 
-func (client storeClient) List(_ context.Context, _ string, _ func()) ([]ebonywood.Item, int64, error) {
+func (client storeClient) List(_ context.Context, _ string, _ func()) ([]ebonywood.Item, ebonywood.Revision, error) {
 	if err := client.enter(); err != nil {
-		return nil, 0, err
+		return nil, ebonywood.Revision{}, err
 	}
 	defer client.mutex.Unlock()
 	var items []ebonywood.Item
 	for _, item := range client.items {
 		items = append(items, item)
 	}
-	return items, client.revision, nil
+	return items, client.now(), nil
 }
 
 // fleetProxy is the port of one run of a proxy.
--- a/internal/edge/relay/calls.go
+++ b/internal/edge/relay/calls.go
@@ -21,7 +21,7 @@
 func (edge *Edge) FetchChanges(
 	ctx context.Context, address string, cursor ebonywood.Cursor, wait ebonywood.Millis,
 ) (ebonywood.MirrorPage, error) {
-	message := &fetchChangesMessage{Version: protocolVersion, Epoch: cursor.Epoch(), Sequence: cursor.Sequence(), Wait: int64(wait), Revision: cursor.Revision()}
+	message := &fetchChangesMessage{Version: protocolVersion, Epoch: cursor.Epoch(), Sequence: cursor.Sequence(), Wait: int64(wait), Revision: cursor.Revision().Number(), Era: int64(cursor.Revision().Era())}
 	var page pageMessage
 	if err := edge.link(address).Invoke(ctx, rpcFetchChanges, message, &page); err != nil {
 		return ebonywood.MirrorPage{}, err
@@ -75,7 +75,7 @@
 	wait := min(max(message.Wait, 0), maxWaitMillis)
 	ctx, cancel := context.WithTimeout(stream.Context(), time.Duration(wait)*time.Millisecond)
 	defer cancel()
-	page := edge.port.Mirror().Changes(ctx, ebonywood.NewCursor(message.Epoch, message.Sequence).WithRevision(message.Revision))
+	page := edge.port.Mirror().Changes(ctx, ebonywood.NewCursor(message.Epoch, message.Sequence).WithRevision(ebonywood.NewRevision(ebonywood.Era(message.Era), message.Revision)))
 	return stream.MsgSend(edge.compressor.encodePage(page), wire)
 }
 
--- a/internal/edge/relay/compressor.go
+++ b/internal/edge/relay/compressor.go
@@ -27,7 +27,7 @@
 
 // compressedValue is the compressed value of a key at a revision.
 type compressedValue struct {
-	revision int64
+	revision ebonywood.Revision
 	data     []byte
 }
 
--- a/internal/edge/relay/message.go
+++ b/internal/edge/relay/message.go
@@ -198,6 +198,7 @@
 	Sequence uint64 `cbor:"3,keyasint"`
 	Wait     int64  `cbor:"4,keyasint"`
 	Revision int64  `cbor:"5,keyasint,omitempty"`
+	Era      int64  `cbor:"6,keyasint,omitempty"`
 }
 
 // pageMessage is a page of changes; Age is in milliseconds. Unchanged items have no
@@ -210,6 +211,7 @@
 	Items     []itemMessage `cbor:"5,keyasint"`
 	Unchanged []itemMessage `cbor:"6,keyasint,omitempty"`
 	Revision  int64         `cbor:"7,keyasint,omitempty"`
+	Era       int64         `cbor:"8,keyasint,omitempty"`
 }
 
 // itemMessage is an item. Its value is in Value, or in Compressed if it has at least
@@ -220,15 +222,27 @@
 	Revision   int64  `cbor:"3,keyasint"`
 	Deleted    bool   `cbor:"4,keyasint,omitempty"`
 	Compressed []byte `cbor:"5,keyasint,omitempty"`
+	Era        int64  `cbor:"6,keyasint,omitempty"`
+}
+
+// revision returns the revision of the item.
+func (message itemMessage) revision() ebonywood.Revision {
+	return ebonywood.NewRevision(ebonywood.Era(message.Era), message.Revision)
+}
+
+// encodeItem returns the message of an item without its value.
+func encodeItem(item ebonywood.Item) itemMessage {
+	revision := item.Revision()
+	return itemMessage{Key: item.Key(), Revision: revision.Number(), Era: int64(revision.Era()), Deleted: item.IsDeleted()}
 }
 
 func (compressor *compressor) encodePage(page ebonywood.MirrorPage) *pageMessage {
 	message := &pageMessage{
 		Epoch: page.Cursor().Epoch(), Sequence: page.Cursor().Sequence(), Full: page.IsFull(), Age: int64(page.Age()),
-		Revision: page.Revision(),
+		Revision: page.Revision().Number(), Era: int64(page.Revision().Era()),
 	}
 	for _, item := range page.Items() {
-		encoded := itemMessage{Key: item.Key(), Revision: item.Revision(), Deleted: item.IsDeleted()}
+		encoded := encodeItem(item)
 		if len(item.Value()) >= minCompressedSize {
 			encoded.Compressed = compressor.compress(item)
 		} else {
@@ -237,7 +251,7 @@
 		message.Items = append(message.Items, encoded)
 	}
 	for _, item := range page.Unchanged() {
-		message.Unchanged = append(message.Unchanged, itemMessage{Key: item.Key(), Revision: item.Revision()})
+		message.Unchanged = append(message.Unchanged, encodeItem(item))
 	}
 	return message
 }
@@ -246,7 +260,7 @@
 	items := make([]ebonywood.Item, 0, len(message.Items))
 	for _, encoded := range message.Items {
 		if encoded.Deleted {
-			items = append(items, ebonywood.NewDeletedItem(encoded.Key, encoded.Revision))
+			items = append(items, ebonywood.NewDeletedItem(encoded.Key, encoded.revision()))
 			continue
 		}
 		value := encoded.Value
@@ -257,12 +271,13 @@
 			}
 			value = decompressed
 		}
-		items = append(items, ebonywood.NewItem(encoded.Key, value, encoded.Revision))
+		items = append(items, ebonywood.NewItem(encoded.Key, value, encoded.revision()))
 	}
 	unchanged := make([]ebonywood.Item, 0, len(message.Unchanged))
 	for _, encoded := range message.Unchanged {
-		unchanged = append(unchanged, ebonywood.NewItem(encoded.Key, nil, encoded.Revision))
+		unchanged = append(unchanged, ebonywood.NewItem(encoded.Key, nil, encoded.revision()))
 	}
 	cursor := ebonywood.NewCursor(message.Epoch, message.Sequence)
-	return ebonywood.NewMirrorPage(cursor, message.Full, items, ebonywood.Millis(message.Age)).WithUnchanged(unchanged).WithRevision(message.Revision), nil
+	revision := ebonywood.NewRevision(ebonywood.Era(message.Era), message.Revision)
+	return ebonywood.NewMirrorPage(cursor, message.Full, items, ebonywood.Millis(message.Age)).WithUnchanged(unchanged).WithRevision(revision), nil
 }
--- a/internal/edge/relay/message_test.go
+++ b/internal/edge/relay/message_test.go
@@ -15,8 +15,8 @@
 func TestPageRoundTrip(t *testing.T) {
 	long := bytes.Repeat([]byte("route "), 100_000)
 	page := ebonywood.NewMirrorPage(ebonywood.NewCursor("e", 7), true, []ebonywood.Item{
-		ebonywood.NewItem("short", []byte("s"), 1), ebonywood.NewItem("long", long, 2), ebonywood.NewDeletedItem("gone", 3),
-	}, 9).WithUnchanged([]ebonywood.Item{ebonywood.NewItem("kept", nil, 4)}).WithRevision(11)
+		ebonywood.NewItem("short", []byte("s"), ebonywood.NewRevision(1, 1)), ebonywood.NewItem("long", long, ebonywood.NewRevision(1, 2)), ebonywood.NewDeletedItem("gone", ebonywood.NewRevision(1, 3)),
+	}, 9).WithUnchanged([]ebonywood.Item{ebonywood.NewItem("kept", nil, ebonywood.NewRevision(1, 4))}).WithRevision(ebonywood.NewRevision(1, 11))
 	var compressor compressor
 	for range 2 {
 		data, err := wire.Marshal(compressor.encodePage(page))
--- a/mirror.go
+++ b/mirror.go
@@ -7,7 +7,7 @@
 type Cursor struct {
 	epoch    string
 	sequence uint64
-	revision int64
+	revision Revision
 }
 
 // NewCursor returns a cursor. epoch identifies one run of a mirror, within which
@@ -16,14 +16,14 @@
 
 // WithRevision returns the cursor of a follower that holds the items up to a
 // revision of the directory, whichever mirror they came from.
-func (cursor Cursor) WithRevision(revision int64) Cursor {
+func (cursor Cursor) WithRevision(revision Revision) Cursor {
 	cursor.revision = revision
 	return cursor
 }
 
 // Revision returns the revision of the directory up to which the follower holds
 // items.
-func (cursor Cursor) Revision() int64 { return cursor.revision }
+func (cursor Cursor) Revision() Revision { return cursor.revision }
 
 // Epoch identifies the run of the mirror.
 func (cursor Cursor) Epoch() string { return cursor.epoch }
@@ -37,7 +37,7 @@
 	full      bool
 	items     []Item
 	unchanged []Item
-	revision  int64
+	revision  Revision
 	age       Millis
 }
 
@@ -57,13 +57,13 @@
 
 // WithRevision returns the page of a mirror that holds every change up to a
 // revision of the directory.
-func (page MirrorPage) WithRevision(revision int64) MirrorPage {
+func (page MirrorPage) WithRevision(revision Revision) MirrorPage {
 	page.revision = revision
 	return page
 }
 
 // Revision returns a revision of the directory up to which no change is missing.
-func (page MirrorPage) Revision() int64 { return page.revision }
+func (page MirrorPage) Revision() Revision { return page.revision }
 
 // Unchanged returns the items of a full page that come without their values.
 func (page MirrorPage) Unchanged() []Item { return page.unchanged }
