Make fencing tokens rise across the store's returns

Cause: the token was the number of the duty key's revision, which a store that returns from a copy gives out again. The platform refuses what is below the greatest token that it has seen. Change: a token is made of the store's era and of the number. Ruled out: a counter in the key's value is lost with the key; waiting until the numbers have passed leaves the service without a primary meanwhile. Why it works: of two claims the later one has a later era, or a greater number in the same.

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -5,8 +5,9 @@
 // The mirror lists all keys once and then watches for changes. When the watch
 // history has been compacted, it lists again and compares. Decisions rely on the
 // mirrored state: if the response to a write is lost, the change that the watch
-// delivers shows whether the write took effect. The fencing token of the duty is the
-// revision of its key, which only increases and is never reused.
+// delivers shows whether the write took effect. The fencing token of the duty is made of the
+// revision of its key and of the store's era, since a store that returns from a copy gives
+// revisions out again.
 package directory
 
 import (
@@ -340,7 +341,7 @@
 	edge.mutex.Unlock()
 	edge.wakeKeeper()
 	if changed {
-		_ = edge.port.Post(ctx, ebonywood.NewDutyChanged(held, item.Revision().Number()))
+		_ = edge.port.Post(ctx, ebonywood.NewDutyChanged(held, item.Revision().FencingToken()))
 	}
 }
 
--- a/revision.go
+++ b/revision.go
@@ -9,6 +9,10 @@
 // a directory that does not tell.
 type Era int64
 
+// tokenNumberBits is the number of bits of a fencing token that hold the number of a revision;
+// those above hold the era.
+const tokenNumberBits = 40
+
 // Revision is a point in the history of the directory. A directory that returns from a copy
 // loses its changes since and gives their numbers out again, so a number alone identifies
 // nothing: the era in which it was read comes first. The zero value is before the first change.
@@ -49,5 +53,11 @@
 	return revision
 }
 
+// FencingToken returns an integer that orders the revisions of all eras. In era 0 it is the
+// number.
+func (revision Revision) FencingToken() int64 {
+	return int64(revision.era)<<tokenNumberBits | revision.number
+}
+
 // String returns the revision as "era/number".
 func (revision Revision) String() string { return fmt.Sprintf("%d/%d", revision.era, revision.number) }
