End leases with the era in which they were granted

What callers could see: a proxy, or the duty, that ends with the lease of another process. Cause: a store that returns from a copy gives the number of a lost lease out again. The former holder renewed, used and revoked the lease of another process, and its keys hung on that. Change: a lease has the era of its grant. The client of the store treats one of an earlier era as ended: it isn't renewed or revoked, and a write with it counts as not attached. Reports and the duty's key are written again with a lease of the new era.

--- a/directory.go
+++ b/directory.go
@@ -32,8 +32,25 @@
 // IsDeleted reports whether the item is a tombstone.
 func (item Item) IsDeleted() bool { return item.deleted }
 
-// LeaseID identifies a lease of the store.
-type LeaseID int64
+// LeaseID identifies a lease of the store. A store that returns from a copy may give the number
+// of a lost lease to another process, so a lease counts only in the era that granted it. The zero
+// value is no lease.
+type LeaseID struct {
+	era    Era
+	number int64
+}
+
+// NewLeaseID returns the lease with a number that was granted in an era.
+func NewLeaseID(era Era, number int64) LeaseID { return LeaseID{era: era, number: number} }
+
+// Era returns the era in which the lease was granted.
+func (lease LeaseID) Era() Era { return lease.era }
+
+// Number returns the store's number of the lease.
+func (lease LeaseID) Number() int64 { return lease.number }
+
+// IsZero reports whether this is no lease.
+func (lease LeaseID) IsZero() bool { return lease == LeaseID{} }
 
 // LeaseStore is a linearizable key-value store with leases and watches. After a
 // fault of KindUnavailable a change may have taken effect, or may still take
@@ -49,7 +66,7 @@
 	Changes(ctx context.Context, prefix string, after Revision, wait Millis) (changes []Item, revision Revision, err error)
 	// Create writes a key that must not exist, and returns its revision. A fault of
 	// KindConflict means that the key exists, one of KindStale that the lease has
-	// expired.
+	// expired or is of an earlier era; in the latter case the key may have been written.
 	Create(ctx context.Context, key string, value []byte, lease LeaseID) (revision Revision, err error)
 	// Replace writes a key whose revision must be the given one, and returns the
 	// new revision. A fault of KindConflict means that the revision differs, or is of
@@ -60,9 +77,11 @@
 	// Grant creates a lease with a time to live, which the store may raise to its
 	// minimum.
 	Grant(ctx context.Context, ttl Millis) (LeaseID, error)
-	// Renew extends a lease. A fault of KindStale means that it has expired.
+	// Renew extends a lease. A fault of KindStale means that it has expired, or that it
+	// is of an earlier era, and its keys have to be written again with another one.
 	Renew(ctx context.Context, lease LeaseID) error
-	// Revoke ends a lease and deletes its keys.
+	// Revoke ends a lease and deletes its keys. It leaves a lease of an earlier era alone,
+	// which may be that of another process now.
 	Revoke(ctx context.Context, lease LeaseID) error
 }
 
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -82,9 +82,11 @@
 	unavailable    bool
 	recoveredAt    time.Time
 	lastResponseAt time.Time
-	suspects       []ebonywood.MemberID
-	writeStops     ebonywood.AnnounceWriteStops
-	leaving        bool
+	// recovery is called when it becomes available again; it may be nil.
+	recovery   context.CancelFunc
+	suspects   []ebonywood.MemberID
+	writeStops ebonywood.AnnounceWriteStops
+	leaving    bool
 	// nodeWritten is set while the node key in the directory is up to date; nodeRevision is
 	// that of its last write.
 	nodeWritten  bool
@@ -240,6 +242,9 @@
 		case edge.recovered <- struct{}{}:
 		default:
 		}
+		if edge.recovery != nil {
+			edge.recovery()
+		}
 		edge.wakeKeeper()
 	}
 	edge.mutex.Unlock()
@@ -254,6 +259,14 @@
 	_ = edge.port.Post(edge.group.Context(), ebonywood.NewDirectoryReachabilityChanged(!failed))
 }
 
+// onRecovery sets the function that is called when the directory becomes available again; nil
+// sets none.
+func (edge *Edge) onRecovery(recovery context.CancelFunc) {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	edge.recovery = recovery
+}
+
 // isUnavailable reports whether the directory does not respond to this process.
 func (edge *Edge) isUnavailable() bool {
 	edge.mutex.Lock()
@@ -349,18 +362,19 @@
 func (edge *Edge) isDutyFree() bool { return edge.dutyKnown && edge.duty.Revision().IsZero() }
 
 // checkNodeKey schedules a rewrite of this proxy's node key if it has been deleted by a
-// directory revision. A mirror of before the last write does not hold the key yet.
+// directory revision, or was last written in an earlier era. A mirror of before the last write
+// does not hold the key yet.
 func (edge *Edge) checkNodeKey(items map[string]ebonywood.Item, revision ebonywood.Revision) {
-	if _, found := items[edge.nodeKey()]; found {
-		return
-	}
+	_, found := items[edge.nodeKey()]
 	edge.mutex.Lock()
-	deleted := edge.nodeWritten && !edge.nodeRevision.IsZero() && !revision.Less(edge.nodeRevision)
-	if deleted {
+	written := edge.nodeWritten && !edge.nodeRevision.IsZero()
+	deleted := !found && !revision.Less(edge.nodeRevision)
+	lost := written && (deleted || revision.Era() > edge.nodeRevision.Era())
+	if lost {
 		edge.nodeWritten = false
 	}
 	edge.mutex.Unlock()
-	if deleted {
+	if lost {
 		edge.wakeKeeper()
 	}
 }
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
 )
@@ -82,7 +84,8 @@
 }
 
 // followPeer fetches and applies the next changes from a watcher. If the watcher fails,
-// or its mirror is stale or behind, it is rejected for watcherRetryDelay.
+// or its mirror is stale or behind, it is rejected for watcherRetryDelay. A watcher stops
+// following as soon as the directory responds to it again.
 func (mirror *mirror) followPeer(ctx context.Context, peer ebonywood.PeerView) {
 	edge := mirror.edge
 	if mirror.upstreamAddress != peer.Address() {
@@ -92,8 +95,12 @@
 	sentAt := edge.port.Clock().Now()
 	callCtx, cancel := context.WithTimeout(ctx, followWait.Duration()+followTimeoutMargin)
 	defer cancel()
+	if edge.port.Snapshot().Owners().IsWatcher() {
+		edge.onRecovery(cancel)
+		defer edge.onRecovery(nil)
+	}
 	page, err := edge.port.Relay().FetchChanges(callCtx, peer.Address(), mirror.cursor, followWait)
-	if ctx.Err() != nil {
+	if errors.Is(callCtx.Err(), context.Canceled) {
 		return
 	}
 	reason := ""
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -41,7 +41,9 @@
 	// nodeLease holds this proxy's node key, dutyLease the duty key. The TTL of
 	// dutyLease is shorter, since no other proxy can promote before it expires.
 	nodeLease, dutyLease lease
-	failures             int
+	// dutyKeyLease is the lease with which this process last wrote the duty key.
+	dutyKeyLease ebonywood.LeaseID
+	failures     int
 	// claimAt is when to claim the duty, which is free; zero while it is not. Before
 	// isClaimDrawn is set, it is when the delay of the claim starts.
 	claimAt      time.Time
@@ -58,7 +60,7 @@
 	}
 	keeper.failures = 0
 	delay := keeper.nodeLease.renewalInterval() - time.Since(keeper.nodeLease.renewedAt)
-	if keeper.dutyLease.id != 0 {
+	if !keeper.dutyLease.id.IsZero() {
 		delay = min(delay, keeper.dutyLease.renewalInterval()-time.Since(keeper.dutyLease.renewedAt))
 	}
 	if !keeper.claimAt.IsZero() {
@@ -88,9 +90,9 @@
 	switch {
 	case free && keeper.isClaimDue():
 		return true, keeper.claimDuty(ctx)
-	case held && renew:
+	case held && (renew || keeper.dutyKeyLease != keeper.dutyLease.id):
 		return true, keeper.renewToken(ctx)
-	case !held && keeper.dutyLease.id != 0:
+	case !held && !keeper.dutyLease.id.IsZero():
 		return true, keeper.releaseDuty()
 	default:
 		return called || !written, nil
@@ -108,20 +110,16 @@
 			return true, err
 		}
 		if created {
-			edge.port.Log().Info("lease", "lease", int64(keeper.nodeLease.id), "ttlMs", int64(keeper.nodeLease.ttl), "of", "report")
+			keeper.logLease(&keeper.nodeLease, "report")
 			edge.mutex.Lock()
 			edge.nodeWritten = false
 			edge.mutex.Unlock()
 		}
 	}
-	if keeper.dutyLease.id == 0 || !keeper.dutyLease.isDue() {
+	if keeper.dutyLease.id.IsZero() || !keeper.dutyLease.isDue() {
 		return called, nil
 	}
-	created, err := keeper.dutyLease.renewOrGrant(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitDutyTTL))
-	if created {
-		edge.port.Log().Info("lease", "lease", int64(keeper.dutyLease.id), "ttlMs", int64(keeper.dutyLease.ttl), "of", "duty")
-	}
-	return true, err
+	return true, keeper.ensureDutyLease(ctx)
 }
 
 func (keeper *keeper) writeNodeKey(ctx context.Context) error {
@@ -154,7 +152,7 @@
 // requests a new one. It returns err.
 func (edge *Edge) clearEndedLease(lease *lease, err error) error {
 	if err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindStale {
-		lease.id = 0
+		lease.id = ebonywood.LeaseID{}
 		edge.wakeKeeper()
 	}
 	return err
@@ -195,15 +193,14 @@
 func (keeper *keeper) claimDuty(ctx context.Context) error {
 	edge := keeper.edge
 	keeper.resetClaim()
-	if keeper.dutyLease.isDue() {
-		if _, err := keeper.dutyLease.renewOrGrant(ctx, edge.port.Directory(), edge.limits().Millis(ebonywood.LimitDutyTTL)); err != nil {
-			return err
-		}
+	if err := keeper.ensureDutyLease(ctx); err != nil {
+		return err
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	revision, err := edge.port.Directory().Create(callCtx, dutyKey, edge.claimValue(), keeper.dutyLease.id)
 	if err == nil {
+		keeper.dutyKeyLease = keeper.dutyLease.id
 		edge.applyDuty(ctx, ebonywood.NewItem(dutyKey, edge.claimValue(), revision), revision)
 		return nil
 	}
@@ -214,6 +211,23 @@
 	return edge.clearEndedLease(&keeper.dutyLease, err)
 }
 
+// ensureDutyLease grants the lease of the duty if there is none, and renews it if it is due.
+func (keeper *keeper) ensureDutyLease(ctx context.Context) error {
+	if !keeper.dutyLease.isDue() {
+		return nil
+	}
+	created, err := keeper.dutyLease.renewOrGrant(ctx, keeper.edge.port.Directory(), keeper.edge.limits().Millis(ebonywood.LimitDutyTTL))
+	if created {
+		keeper.logLease(&keeper.dutyLease, "duty")
+	}
+	return err
+}
+
+// logLease logs a lease that was granted.
+func (keeper *keeper) logLease(lease *lease, purpose string) {
+	keeper.edge.port.Log().Info("lease", "lease", lease.id.Number(), "ttlMs", int64(lease.ttl), "of", purpose)
+}
+
 // releaseDuty revokes this process's duty lease after another proxy has claimed the
 // duty.
 func (keeper *keeper) releaseDuty() error {
@@ -240,11 +254,15 @@
 	return max(minClaimWindow, time.Duration(proxies)*claimWindowPerProxy)
 }
 
-// renewToken rewrites the duty key to obtain a higher revision as the fencing token. A
+// renewToken rewrites the duty key to obtain a higher revision as the fencing token, and to
+// attach the key to the present lease. A
 // conflict means that the key has changed, which the mirror receives. After any other error
 // the request stands, since the holder may order nothing until it has the greater token.
 func (keeper *keeper) renewToken(ctx context.Context) error {
 	edge := keeper.edge
+	if err := keeper.ensureDutyLease(ctx); err != nil {
+		return err
+	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	edge.mutex.Lock()
@@ -253,6 +271,7 @@
 	edge.mutex.Unlock()
 	renewed, err := edge.port.Directory().Replace(callCtx, dutyKey, edge.claimValue(), keeper.dutyLease.id, revision)
 	if err == nil {
+		keeper.dutyKeyLease = keeper.dutyLease.id
 		edge.applyDuty(ctx, ebonywood.NewItem(dutyKey, edge.claimValue(), renewed), renewed)
 	}
 	if err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindConflict {
--- a/internal/edge/directory/keeper_test.go
+++ b/internal/edge/directory/keeper_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -14,7 +15,7 @@
 	failure := ebonywood.NewFault(ebonywood.KindUnavailable, "no response", "")
 	fake := &fakeDirectory{}
 	edge := New(fakePort{directory: fake})
-	keeper := &keeper{edge: edge}
+	keeper := &keeper{edge: edge, dutyLease: lease{id: ebonywood.NewLeaseID(1, 1), ttl: 60_000, renewedAt: time.Now()}}
 	edge.applyDuty(t.Context(), ebonywood.NewItem(dutyKey, edge.claimValue(), atRevision(50)), atRevision(50))
 	require.True(t, edge.Perform(ebonywood.RenewToken{}))
 	fake.replace = func() (ebonywood.Revision, error) { return ebonywood.Revision{}, failure }
--- a/internal/edge/directory/lease.go
+++ b/internal/edge/directory/lease.go
@@ -34,18 +34,18 @@
 
 // isDue reports whether the lease has to be granted or renewed.
 func (lease *lease) isDue() bool {
-	return lease.id == 0 || time.Since(lease.renewedAt) >= lease.renewalInterval()
+	return lease.id.IsZero() || time.Since(lease.renewedAt) >= lease.renewalInterval()
 }
 
 // renewOrGrant renews the lease, or requests a new one if it has ended or was never
 // granted. created reports a new lease, to which no key is attached yet.
 func (lease *lease) renewOrGrant(ctx context.Context, store ebonywood.LeaseStore, ttl ebonywood.Millis) (created bool, err error) {
-	if lease.id != 0 {
+	if !lease.id.IsZero() {
 		err = lease.renew(ctx, store)
 		if err == nil || ebonywood.FaultOf(err).Kind() != ebonywood.KindStale {
 			return false, err
 		}
-		lease.id = 0
+		lease.id = ebonywood.LeaseID{}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -71,7 +71,7 @@
 
 // revoke revokes the lease if it was granted.
 func (lease *lease) revoke(store ebonywood.LeaseStore) error {
-	if lease.id == 0 {
+	if lease.id.IsZero() {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
--- a/internal/edge/directory/memorystore_test.go
+++ b/internal/edge/directory/memorystore_test.go
@@ -20,7 +20,7 @@
 	history  []ebonywood.Item
 	leases   map[ebonywood.LeaseID]*time.Timer
 	ttls     map[ebonywood.LeaseID]time.Duration
-	lastID   ebonywood.LeaseID
+	lastID   int64
 	changed  chan struct{}
 	calls    map[string]int
 	// down makes the store refuse all calls.
@@ -206,12 +206,12 @@
 
 func (client *storeClient) Grant(_ context.Context, ttl ebonywood.Millis) (ebonywood.LeaseID, error) {
 	if err := client.count("grant"); err != nil {
-		return 0, err
+		return ebonywood.LeaseID{}, err
 	}
 	store := client.store
 	defer store.mutex.Unlock()
 	store.lastID++
-	id := store.lastID
+	id := ebonywood.NewLeaseID(store.era, store.lastID)
 	store.ttls[id] = ttl.Duration()
 	store.leases[id] = time.AfterFunc(ttl.Duration(), func() {
 		store.mutex.Lock()
--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -323,7 +323,7 @@
 
 // revoke ends the lease if there is one.
 func (claim *claim) revoke() {
-	if claim.lease == 0 {
+	if claim.lease.IsZero() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -49,7 +49,7 @@
 	leaseOf  map[string]ebonywood.LeaseID
 	leases   map[ebonywood.LeaseID]*time.Timer
 	ttls     map[ebonywood.LeaseID]time.Duration
-	lastID   ebonywood.LeaseID
+	lastID   int64
 	down     bool
 	calls    int
 }
@@ -78,12 +78,12 @@
 
 func (client storeClient) Grant(_ context.Context, ttl ebonywood.Millis) (ebonywood.LeaseID, error) {
 	if err := client.enter(); err != nil {
-		return 0, err
+		return ebonywood.LeaseID{}, err
 	}
 	store := client.memoryStore
 	defer store.mutex.Unlock()
 	store.lastID++
-	id := store.lastID
+	id := ebonywood.NewLeaseID(1, store.lastID)
 	store.ttls[id] = ttl.Duration()
 	store.leases[id] = time.AfterFunc(ttl.Duration(), func() {
 		store.mutex.Lock()
