Keep members' entries that the returned store has lost

What callers saw: BUSY for seconds after the return, although all members ran. Cause: a copy may lack the entry of a member, or its report that it is leaving, until the member writes again. Entries were kept only after a call had failed, and a store that is away for a moment may return between two calls; a leaving member counted as staying again. Change: a list of a new era starts the time for which missing entries are kept, and keeps the entries of leaving members, whose drain period goes on, until they are written again or that time is over. Then what the store has counts.

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -274,6 +274,14 @@
 	return edge.unavailable
 }
 
+// restartRecovery counts the recovery of a directory that has returned from a copy from now on,
+// although it may have been away for so short that no call failed.
+func (edge *Edge) restartRecovery() {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	edge.recoveredAt = time.Now()
+}
+
 // timeSinceRecovery returns the time since the directory became available again.
 func (edge *Edge) timeSinceRecovery() time.Duration {
 	edge.mutex.Lock()
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -149,7 +149,7 @@
 // merge updates the items to match the mirror that the page comes from.
 func (mirror *mirror) merge(page ebonywood.MirrorPage) {
 	mirror.cursor, mirror.revision = page.Cursor(), page.Revision()
-	clear(mirror.expired)
+	clear(mirror.retained)
 	if page.IsFull() {
 		mirror.retainUnchanged(page)
 	}
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -13,8 +13,8 @@
 const allKeys = ""
 
 const (
-	// expiredWatchWait is how long a watch waits for changes while expired entries
-	// are retained. It is short, so that they are purged in time.
+	// expiredWatchWait is how long a watch waits for changes while entries are
+	// retained. It is short, so that they are purged in time.
 	expiredWatchWait ebonywood.Millis = 400
 	// listFirstByteTimeout bounds the time until a response to any of the list attempts
 	// starts to arrive. listTimeout bounds the whole list; it is longer, since a large
@@ -39,8 +39,8 @@
 	// response.
 	watchTimeoutMargin = 600 * time.Millisecond
 	// expiredRetention is how long entries that expired while the directory was
-	// unavailable are retained after its recovery; their owners write them again in
-	// that time.
+	// unavailable, or were lost with it, are retained after its recovery; their owners
+	// write them again in that time.
 	expiredRetention = 2300 * time.Millisecond
 )
 
@@ -52,8 +52,11 @@
 	items    map[string]ebonywood.Item
 	// configuration is the newest valid configuration.
 	configuration configurationCopy
-	// expired contains the keys of retained entries that the directory no longer holds.
-	expired map[string]bool
+	// retained has the keys of members' entries that are kept although the directory holds
+	// something else, with what it holds: a deleted item if that is nothing.
+	retained map[string]ebonywood.Item
+	// era is that of the last list, 0 before the first.
+	era ebonywood.Era
 	// revision is the revision of the directory up to which items contains every
 	// change; zero if the directory has to be listed.
 	revision ebonywood.Revision
@@ -77,7 +80,7 @@
 }
 
 func newMirror(edge *Edge) *mirror {
-	return &mirror{edge: edge, expired: map[string]bool{}, rejectedUntil: map[string]ebonywood.Millis{}}
+	return &mirror{edge: edge, retained: map[string]ebonywood.Item{}, rejectedUntil: map[string]ebonywood.Millis{}}
 }
 
 // handle adds handlers, which are called in order.
@@ -237,8 +240,8 @@
 	}
 }
 
-// relist reads all keys and replaces the mirrored items. Missing entries for which
-// shouldRetain is true stay in the mirror as expired.
+// relist reads all keys and replaces the mirrored items, except for members' entries that are
+// retained.
 func (mirror *mirror) relist(ctx context.Context) error {
 	start := time.Now()
 	listed, revision, err := mirror.list(ctx)
@@ -249,14 +252,13 @@
 	items := make(map[string]ebonywood.Item, len(listed))
 	for _, item := range listed {
 		items[item.Key()] = item
-		delete(mirror.expired, item.Key())
 	}
-	for key, item := range mirror.items {
-		if _, found := items[key]; !found && mirror.shouldRetain(item) {
-			items[key] = item
-			mirror.expired[key] = true
-		}
+	returned := mirror.era > 0 && revision.Era() > mirror.era
+	mirror.era = revision.Era()
+	if returned {
+		mirror.edge.restartRecovery()
 	}
+	mirror.retainMembers(items, returned)
 	mirror.edge.port.Log().Info("listed", "revision", revision.String(), "items", len(items), "heldThrough", mirror.newestRevision().String())
 	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
@@ -295,7 +297,7 @@
 	// A watch may get no response although there are changes, so its wait is well below
 	// the time in which a change has to be in force.
 	wait := mirror.edge.limits().Millis(ebonywood.LimitWatchWait)
-	if len(mirror.expired) > 0 {
+	if len(mirror.retained) > 0 {
 		wait = expiredWatchWait
 	}
 	start, sentAt := time.Now(), mirror.edge.port.Clock().Now()
@@ -319,7 +321,7 @@
 		mirror.applyChange(change)
 	}
 	mirror.keepNewestConfiguration()
-	purged := mirror.purgeExpired()
+	purged := mirror.purgeRetained()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now(), mirror.revision)
 	mirror.dispatch(ctx, func(prefix string) bool {
 		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || mirror.affects(changes, prefix)
@@ -334,7 +336,7 @@
 }
 
 // applyChange applies a change unless the mirror holds a newer revision of its key. A
-// deleted entry for which shouldRetain is true stays in the mirror as expired.
+// deleted entry for which shouldRetain is true is retained.
 func (mirror *mirror) applyChange(change ebonywood.Item) {
 	key := change.Key()
 	current, found := mirror.items[key]
@@ -343,14 +345,42 @@
 		mirror.edge.port.Log().Info("change ignored", "key", key, "revision", change.Revision().String(), "held", current.Revision().String())
 	case !change.IsDeleted():
 		mirror.items[key] = change
-		delete(mirror.expired, key)
+		delete(mirror.retained, key)
 	case found && mirror.shouldRetain(current):
-		mirror.expired[key] = true
+		mirror.retained[key] = change
 	default:
 		delete(mirror.items, key)
+		delete(mirror.retained, key)
 	}
 }
 
+// retainMembers puts mirrored entries of members into the listed items where the directory may
+// have lost what the member wrote: entries that are missing, and, if the directory has returned
+// from a copy, those of leaving members whose listed entry is of the time before.
+func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, returned bool) {
+	clear(mirror.retained)
+	for key, held := range mirror.items {
+		listed, found := items[key]
+		switch {
+		case !found && mirror.shouldRetain(held):
+			listed = ebonywood.NewDeletedItem(key, held.Revision())
+		case found && returned && mirror.isLeaving(held) && !mirror.isLeaving(listed):
+		default:
+			continue
+		}
+		items[key], mirror.retained[key] = held, listed
+	}
+}
+
+// isLeaving reports whether an item is the entry of a leaving member.
+func (mirror *mirror) isLeaving(item ebonywood.Item) bool {
+	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) {
+		return false
+	}
+	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
+	return err == nil && entry.Member().IsLeaving()
+}
+
 // shouldRetain reports whether a deleted entry may have expired only because its member
 // could not renew it while the directory was unavailable. That holds for members that
 // were not leaving, for expiredRetention after the recovery.
@@ -362,15 +392,19 @@
 	return err == nil && !entry.Member().IsLeaving()
 }
 
-// purgeExpired drops the expired entries that were not written again within
-// expiredRetention, and reports whether there were any.
-func (mirror *mirror) purgeExpired() (changed bool) {
-	if len(mirror.expired) == 0 || mirror.edge.timeSinceRecovery() <= expiredRetention {
+// purgeRetained replaces the retained entries that were not written again within
+// expiredRetention by what the directory holds, and reports whether there were any.
+func (mirror *mirror) purgeRetained() (changed bool) {
+	if len(mirror.retained) == 0 || mirror.edge.timeSinceRecovery() <= expiredRetention {
 		return false
 	}
-	for key := range mirror.expired {
-		delete(mirror.items, key)
+	for key, listed := range mirror.retained {
+		if listed.IsDeleted() {
+			delete(mirror.items, key)
+		} else {
+			mirror.items[key] = listed
+		}
 	}
-	clear(mirror.expired)
+	clear(mirror.retained)
 	return true
 }
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -134,9 +134,9 @@
 	mirror.applyChange(ebonywood.NewDeletedItem(leaving.Key(), atRevision(6)))
 	require.Contains(t, mirror.items, staying.Key())
 	require.NotContains(t, mirror.items, leaving.Key())
-	require.False(t, mirror.purgeExpired())
+	require.False(t, mirror.purgeRetained())
 	mirror.edge.recoveredAt = time.Now().Add(-2 * expiredRetention)
-	require.True(t, mirror.purgeExpired())
+	require.True(t, mirror.purgeRetained())
 	require.Empty(t, mirror.items)
 }
 
@@ -219,3 +219,35 @@
 }
 
 func (port timedPort) Clock() ebonywood.Clock { return port.clock }
+
+// TestLostMemberEntriesAreRetained guards against DRAIN and a needless failover: a directory that
+// returns from a copy has lost the entry of a member, and the report that another one is leaving.
+// Both hold until the members have had the time to write again.
+func TestLostMemberEntriesAreRetained(t *testing.T) {
+	lost := ebonywood.NewItem("members/m0", nil, atRevision(8))
+	leaving := ebonywood.NewItem("members/m1", []byte("leaving"), atRevision(9))
+	copied := ebonywood.NewItem("members/m1", nil, ebonywood.NewRevision(2, 4))
+	fake := &fakeDirectory{arriving: true}
+	fake.list = func(_ context.Context, call int64) ([]ebonywood.Item, ebonywood.Revision, error) {
+		if call == 1 {
+			return []ebonywood.Item{lost, leaving}, atRevision(9), nil
+		}
+		return []ebonywood.Item{copied}, ebonywood.NewRevision(2, 6), nil
+	}
+	mirror := newTestMirror(t, fake)
+	require.NoError(t, mirror.relist(t.Context()))
+	require.NoError(t, mirror.relist(t.Context()))
+	require.Equal(t, map[string]ebonywood.Item{lost.Key(): lost, leaving.Key(): leaving}, mirror.items)
+	require.False(t, mirror.purgeRetained())
+	mirror.edge.recoveredAt = time.Now().Add(-2 * expiredRetention)
+	require.True(t, mirror.purgeRetained())
+	require.Equal(t, map[string]ebonywood.Item{copied.Key(): copied}, mirror.items)
+
+	mirror.items[leaving.Key()], mirror.era = leaving, 1
+	require.NoError(t, mirror.relist(t.Context()))
+	rewritten := ebonywood.NewItem(leaving.Key(), nil, ebonywood.NewRevision(2, 7))
+	mirror.applyChange(rewritten)
+	mirror.edge.recoveredAt = time.Time{}
+	require.False(t, mirror.purgeRetained())
+	require.Equal(t, rewritten, mirror.items[leaving.Key()])
+}
