Let allocators keep their keys across the store's return

What callers saw, in the fleet test: operations of workspaces with a rate refused for seconds; and more than the rate could run (QUOTA) where a lost allocator deals on beside its successor. Cause: the store forgets who holds a key, and so do those who rely on it: the holder dropped its key, and any other proxy could claim it at once, though a holder that has not heard of the return deals until its lease would have ended. Change: a holder whose lease would still last writes its key into the returned store, with a new lease and in the place of what the copy has. Proxies that see a return claim no key for the time to live of an allocator's lease. Ruled out: a new allocator for each key leaves 6 s without tokens; claims at once leave two allocators for one key. Why it works: nobody else may deal the part before the holder's lease would have ended, in either era. TestNoKeyIsClaimedSoonAfterTheReturn fails without the wait; the fleet test does not notice that. What remains: a proxy that starts just after a return does not know of it, and may claim a key that the copy lacks while a holder that is cut off deals on.

--- a/directory.go
+++ b/directory.go
@@ -196,6 +196,12 @@
 
 func (ProxyReportsListed) isEvent() {}
 
+// DirectoryReturned reports that the directory has returned from a copy of its content: leases
+// and changes that it had acknowledged may be lost.
+type DirectoryReturned struct{}
+
+func (DirectoryReturned) isEvent() {}
+
 // DutyChanged reports whether this process holds the duty to promote. The fencing
 // token is greater for each later holder.
 type DutyChanged struct {
--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -13,6 +13,7 @@
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rendezvous"
+	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // Name is the plug-in's name.
@@ -20,7 +21,7 @@
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
-		return New(settings.Name(), settings.PeerAddress(), settings.Limits().Count(ebonywood.LimitRateAllocators))
+		return New(settings.Name(), settings.PeerAddress(), settings.Limits().Count(ebonywood.LimitRateAllocators), tokenbucket.LeaseTTL(settings.Limits()))
 	})
 }
 
@@ -40,6 +41,10 @@
 	self    string
 	address string
 	count   int
+	// leaseTTL is the time to live of an allocator's lease.
+	leaseTTL ebonywood.Millis
+	// claimsFrom is when keys may be claimed after the directory returned from a copy.
+	claimsFrom ebonywood.Millis
 	// limited reports that a workspace has a rate.
 	limited  bool
 	draining bool
@@ -61,13 +66,13 @@
 }
 
 // New returns the decision of the proxy self, which listens for peers at address, for a
-// number of allocators.
-func New(self, address string, count int) *Allocation {
-	return &Allocation{self: self, address: address, count: count, keys: make([]keyState, count), proxies: map[string]bool{self: true}}
+// number of allocators whose leases have a time to live.
+func New(self, address string, count int, leaseTTL ebonywood.Millis) *Allocation {
+	return &Allocation{self: self, address: address, count: count, leaseTTL: leaseTTL, keys: make([]keyState, count), proxies: map[string]bool{self: true}}
 }
 
 // Handle processes the list of allocators, the list of live proxies, a new object set, changes
-// of the directory's reachability and the request to drain. It returns ClaimAllocator for keys
+// of the directory's reachability, its return from a copy and the request to drain. It returns ClaimAllocator for keys
 // that this proxy has to claim.
 func (allocation *Allocation) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
 	switch event := event.(type) {
@@ -78,6 +83,9 @@
 	case ebonywood.ProxyReportsListed:
 		allocation.listed = true
 		allocation.setProxies(event.Reports())
+	case ebonywood.DirectoryReturned:
+		// A holder that the directory has lost may deal until its lease would have ended.
+		allocation.claimsFrom = now + allocation.leaseTTL
 	case ebonywood.DirectoryReachabilityChanged:
 		allocation.setReachable(event.IsReachable())
 	case ebonywood.DrainRequested:
@@ -108,7 +116,7 @@
 
 // claim returns the claims that are due.
 func (allocation *Allocation) claim(now ebonywood.Millis) []ebonywood.Action {
-	if !allocation.limited || allocation.draining || allocation.unreachable || !allocation.listed || !allocation.canBeAsked() {
+	if now < allocation.claimsFrom || !allocation.limited || allocation.draining || allocation.unreachable || !allocation.listed || !allocation.canBeAsked() {
 		return nil
 	}
 	var actions []ebonywood.Action
--- a/internal/decision/allocation/allocation_test.go
+++ b/internal/decision/allocation/allocation_test.go
@@ -9,7 +9,11 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-const fleetSize = 12
+const (
+	fleetSize = 12
+	// testLeaseTTL is the time to live of an allocator's lease.
+	testLeaseTTL ebonywood.Millis = 6000
+)
 
 // newFleet returns the decisions of proxies that know each other and an object set whose
 // workspace has a rate.
@@ -19,7 +23,7 @@
 	var reports []ebonywood.ProxyReport
 	for i := range fleetSize {
 		name := fmt.Sprintf("p%d", i)
-		fleet = append(fleet, New(name, name, 4))
+		fleet = append(fleet, New(name, name, 4, testLeaseTTL))
 		reports = append(reports, ebonywood.NewProxyReport(ebonywood.NewPeerView(name, "z", name), nil, false))
 	}
 	for _, proxy := range fleet {
@@ -119,3 +123,19 @@
 		require.Empty(t, claims(proxy, 100*settleTime))
 	}
 }
+
+// TestNoKeyIsClaimedSoonAfterTheReturn guards against QUOTA: the directory has returned from a copy
+// that lacks the key of an allocator, which deals until its lease would have ended.
+func TestNoKeyIsClaimedSoonAfterTheReturn(t *testing.T) {
+	const returnedAt ebonywood.Millis = 20_000
+	for _, proxy := range newFleet(1) {
+		proxy.Handle(returnedAt, ebonywood.DirectoryReturned{})
+		proxy.Handle(returnedAt, ebonywood.NewAllocatorsListed(nil))
+		for now := returnedAt; now < returnedAt+testLeaseTTL; now += claimStep / 4 {
+			require.Empty(t, claims(proxy, now))
+		}
+		for now := returnedAt + testLeaseTTL; len(claims(proxy, now)) == 0; now += claimStep / 4 {
+			require.Less(t, now, returnedAt+testLeaseTTL+fleetSize*claimStep)
+		}
+	}
+}
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -140,6 +140,7 @@
 	if page.IsFull() {
 		mirror.edge.port.Log().Info("mirror copied", "revision", page.Revision().String(), "items", len(page.Items()), "unchanged", len(page.Unchanged()))
 	}
+	mirror.enterEra(ctx, page.Revision().Era())
 	mirror.merge(page)
 	mirror.keepNewestConfiguration()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.revision)
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -55,7 +55,7 @@
 	// retained has the keys of members' entries that are kept although the directory holds
 	// something else, with what it holds: a deleted item if that is nothing.
 	retained map[string]ebonywood.Item
-	// era is that of the last list, 0 before the first.
+	// era is the latest of the items, 0 before the first.
 	era ebonywood.Era
 	// revision is the revision of the directory up to which items contains every
 	// change; zero if the directory has to be listed.
@@ -253,12 +253,7 @@
 	for _, item := range listed {
 		items[item.Key()] = item
 	}
-	returned := mirror.era > 0 && revision.Era() > mirror.era
-	mirror.era = revision.Era()
-	if returned {
-		mirror.edge.restartRecovery()
-	}
-	mirror.retainMembers(items, returned)
+	mirror.retainMembers(items, mirror.enterEra(ctx, revision.Era()))
 	mirror.edge.port.Log().Info("listed", "revision", revision.String(), "items", len(items), "heldThrough", mirror.newestRevision().String())
 	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
@@ -354,6 +349,18 @@
 	}
 }
 
+// enterEra records the era that the items to be applied are of, and reports whether the directory
+// has returned from a copy since the last ones. The control loop learns of it before the items.
+func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (returned bool) {
+	returned = mirror.era > 0 && era > mirror.era
+	mirror.era = max(mirror.era, era)
+	if returned {
+		mirror.edge.restartRecovery()
+		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
+	}
+	return returned
+}
+
 // retainMembers puts mirrored entries of members into the listed items where the directory may
 // have lost what the member wrote: entries that are missing, and, if the directory has returned
 // from a copy, those of leaving members whose listed entry is of the time before.
--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -13,15 +13,11 @@
 const (
 	// renewalsPerTTL is the number of renewals in the time to live of an allocator's lease.
 	renewalsPerTTL = 6
-	// clockMargin is how long before its lease may end an allocator stops: for the difference
-	// between the speeds of the clocks of this host and of the store.
-	clockMargin ebonywood.Millis = 200
 	// retryDelay is the time between a failed renewal and the next: an outage of the store that
 	// is shorter than the lease must not cost the lease.
 	retryDelay = 250 * time.Millisecond
-	// callTimeout bounds a call to the store, renewTimeout a renewal, so that another one can
-	// succeed before the lease ends. revokeTimeout bounds the call that revokes a lease.
-	callTimeout   = time.Second
+	// renewTimeout bounds a renewal, so that another one can succeed before the lease ends.
+	// revokeTimeout bounds the call that revokes a lease.
 	renewTimeout  = 500 * time.Millisecond
 	revokeTimeout = 300 * time.Millisecond
 )
@@ -116,9 +112,8 @@
 func (claim *claim) run(ctx context.Context) error {
 	defer claim.end()
 	sentAt := claim.edge.now()
-	if err := claim.acquire(ctx); err != nil {
+	if err := claim.attach(ctx, claim.formerRun); err != nil {
 		claim.log("not held", err)
-		claim.revoke()
 		return nil
 	}
 	claim.start(sentAt)
@@ -151,6 +146,10 @@
 // otherwise whether the lease was renewed.
 func (claim *claim) maintain(ctx context.Context) (renewed bool, err error) {
 	err = claim.renew(ctx)
+	if err != nil && ebonywood.FaultOf(err).Kind() == ebonywood.KindStale && claim.isHeld() {
+		// No other process may claim the key before the lease may end, so the store has lost it.
+		err = claim.reattach(ctx)
+	}
 	renewed = err == nil
 	if renewed {
 		err = claim.settle(ctx)
@@ -188,31 +187,66 @@
 	return false
 }
 
-// acquire requests a lease and writes the key with it. A key of an earlier run of this process
-// is replaced if its holder was settled; otherwise it has to expire first.
-func (claim *claim) acquire(ctx context.Context) error {
-	directory := claim.edge.port.Directory()
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+// attach requests a lease and writes the key with it, in the place of the one with the revision
+// that find returns. If that is zero, there must be no key.
+func (claim *claim) attach(ctx context.Context, find func(context.Context) (ebonywood.Revision, error)) error {
+	callCtx, cancel := context.WithTimeout(ctx, tokenbucket.KeyTimeout.Duration())
 	defer cancel()
-	lease, err := directory.Grant(callCtx, claim.edge.ttl)
+	lease, err := claim.edge.port.Directory().Grant(callCtx, claim.edge.ttl)
 	if err != nil {
 		return err
 	}
-	claim.lease = lease
-	former, err := claim.formerRun(callCtx)
+	replaced, err := find(callCtx)
 	if err != nil {
+		claim.revoke(lease)
 		return err
 	}
-	if !former.IsZero() {
-		claim.revision, err = directory.Replace(callCtx, claim.key(), claim.value(), lease, former)
+	revision, err := claim.write(callCtx, lease, replaced)
+	if err != nil {
+		claim.revoke(lease)
 		return err
 	}
-	claim.revision, err = directory.Create(callCtx, claim.key(), claim.value(), lease)
-	return err
+	claim.lease, claim.revision = lease, revision
+	return nil
+}
+
+// write writes the key with a lease in the place of the one with a revision; if that is zero,
+// there must be no key.
+func (claim *claim) write(ctx context.Context, lease ebonywood.LeaseID, replaced ebonywood.Revision) (ebonywood.Revision, error) {
+	directory := claim.edge.port.Directory()
+	if replaced.IsZero() {
+		return directory.Create(ctx, claim.key(), claim.value(), lease)
+	}
+	return directory.Replace(ctx, claim.key(), claim.value(), lease, replaced)
+}
+
+// reattach writes the key, which this process holds, into a store that has returned from a copy.
+// The copy may lack the key, or name an earlier holder. A conflict is a fault of KindUnavailable:
+// what the copy had may have expired meanwhile.
+func (claim *claim) reattach(ctx context.Context) error {
+	sentAt := claim.edge.now()
+	err := claim.attach(ctx, claim.present)
+	if err != nil {
+		return ebonywood.NewFault(ebonywood.KindUnavailable, err.Error(), "it is tried again until the lease may have ended")
+	}
+	claim.extend(sentAt)
+	claim.log("reattached", nil)
+	return nil
+}
+
+// present returns the revision of the key in the directory, zero if there is none.
+func (claim *claim) present(ctx context.Context) (revision ebonywood.Revision, err error) {
+	items, _, err := claim.edge.port.Directory().List(ctx, claim.key(), func() {})
+	for _, item := range items {
+		if item.Key() == claim.key() {
+			revision = item.Revision()
+		}
+	}
+	return revision, err
 }
 
 // formerRun returns the revision of the key if the directory lists it as that of a settled
-// holder with the name of this process.
+// holder with the name of this process. Otherwise it has to expire before it is claimed.
 func (claim *claim) formerRun(ctx context.Context) (revision ebonywood.Revision, err error) {
 	settings := claim.edge.port.Settings()
 	listed := false
@@ -254,7 +288,7 @@
 	defer claim.mutex.Unlock()
 	edge := claim.edge
 	claim.allocator = tokenbucket.New(edge.bounds, edge.allocators, edge.life, edge.now())
-	claim.certainUntil = sentAt + edge.ttl - clockMargin
+	claim.certainUntil = sentAt + edge.ttl - tokenbucket.ClockMargin
 	edge.metrics.held.Update(float64(edge.heldCount()))
 }
 
@@ -267,10 +301,16 @@
 	if err := claim.edge.port.Directory().Renew(callCtx, claim.lease); err != nil {
 		return err
 	}
+	claim.extend(sentAt)
+	return nil
+}
+
+// extend makes the key certain to be held for the life of a lease that was renewed, or granted,
+// by a request sent at sentAt.
+func (claim *claim) extend(sentAt ebonywood.Millis) {
 	claim.mutex.Lock()
 	defer claim.mutex.Unlock()
-	claim.certainUntil = sentAt + claim.edge.ttl - clockMargin
-	return nil
+	claim.certainUntil = sentAt + claim.edge.ttl - tokenbucket.ClockMargin
 }
 
 // settle writes into the key that all tokens of earlier holders have expired. It is tried
@@ -279,7 +319,7 @@
 	if claim.settled || claim.revision.IsZero() || claim.edge.now() < claim.allocator.StartedAt()+claim.edge.life {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, tokenbucket.KeyTimeout.Duration())
 	defer cancel()
 	claim.settled = true
 	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(), claim.lease, claim.revision)
@@ -293,7 +333,7 @@
 	claim.stop()
 	claim.edge.port.Log().Info("allocator", "number", claim.number, "outcome", "released", "why", why)
 	if claim.settled {
-		claim.revoke()
+		claim.revoke(claim.lease)
 	}
 }
 
@@ -321,14 +361,11 @@
 	return len(edge.claims)
 }
 
-// revoke ends the lease if there is one.
-func (claim *claim) revoke() {
-	if claim.lease.IsZero() {
-		return
-	}
+// revoke ends a lease.
+func (claim *claim) revoke(lease ebonywood.LeaseID) {
 	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
 	defer cancel()
-	if err := claim.edge.port.Directory().Revoke(ctx, claim.lease); err != nil {
+	if err := claim.edge.port.Directory().Revoke(ctx, lease); err != nil {
 		claim.edge.port.Log().Info("lease not given back", "why", err.Error())
 	}
 }
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -18,6 +19,7 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/decision/allocation"
+	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // This file plays a fleet without a network on a simulated clock. Every proxy has its own edge
@@ -52,10 +54,13 @@
 	lastID   int64
 	down     bool
 	calls    int
+	era      ebonywood.Era
 }
 
 // now returns the revision of the last change; the mutex is held.
-func (store *memoryStore) now() ebonywood.Revision { return ebonywood.NewRevision(1, store.revision) }
+func (store *memoryStore) now() ebonywood.Revision {
+	return ebonywood.NewRevision(store.era, store.revision)
+}
 
 // storeClient is the store as one proxy reaches it.
 type storeClient struct {
@@ -83,7 +88,7 @@
 	store := client.memoryStore
 	defer store.mutex.Unlock()
 	store.lastID++
-	id := ebonywood.NewLeaseID(1, store.lastID)
+	id := ebonywood.NewLeaseID(store.era, store.lastID)
 	store.ttls[id] = ttl.Duration()
 	store.leases[id] = time.AfterFunc(ttl.Duration(), func() {
 		store.mutex.Lock()
@@ -93,6 +98,39 @@
 	return id, nil
 }
 
+// returnFromCopy replaces the keys by those of a copy, and loses all leases and the revisions
+// since the first one. The keys of the copy end after the time to live of an allocator's lease.
+func (store *memoryStore) returnFromCopy(copied map[string]ebonywood.Item) {
+	store.mutex.Lock()
+	defer store.mutex.Unlock()
+	store.era++
+	store.revision, store.lastID = 0, 0
+	clear(store.items)
+	clear(store.leaseOf)
+	clear(store.leases)
+	for key, item := range copied {
+		store.revision++
+		store.items[key] = ebonywood.NewItem(key, item.Value(), store.now())
+	}
+	store.lastID++
+	lease, ttl := ebonywood.NewLeaseID(store.era, store.lastID), tokenbucket.LeaseTTL(ebonywood.Limits{}).Duration()
+	for key := range copied {
+		store.leaseOf[key] = lease
+	}
+	store.ttls[lease] = ttl
+	store.leases[lease] = time.AfterFunc(ttl, func() {
+		store.mutex.Lock()
+		defer store.mutex.Unlock()
+		store.end(lease)
+	})
+	for _, proxy := range store.fleet.running() {
+		if !proxy.isCut() {
+			proxy.handle(ebonywood.DirectoryReturned{})
+		}
+	}
+	store.fleet.list()
+}
+
 // end deletes the keys of a lease; the mutex is held.
 func (store *memoryStore) end(lease ebonywood.LeaseID) {
 	if timer, found := store.leases[lease]; found {
@@ -352,7 +390,7 @@
 	for i := range fleetProxies {
 		name := fmt.Sprintf("p%02d", i)
 		proxy := &fleetProxy{
-			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, fleetAllocators),
+			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, fleetAllocators, tokenbucket.LeaseTTL(ebonywood.Limits{})),
 			snapshot: ebonywood.NewDraft().Publish(), ended: make(chan error, 1),
 		}
 		proxy.edge = New(proxy)
@@ -550,7 +588,7 @@
 			spent: make([][]time.Duration, fleetWorkspaces), inFlight: map[string]int{},
 		}
 		fleet.store = &memoryStore{
-			fleet: fleet, items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{},
+			era: 1, fleet: fleet, items: map[string]ebonywood.Item{}, leaseOf: map[string]ebonywood.LeaseID{},
 			leases: map[ebonywood.LeaseID]*time.Timer{}, ttls: map[ebonywood.LeaseID]time.Duration{},
 		}
 		fleet.takeCounts()
@@ -639,6 +677,39 @@
 	})
 }
 
+// TestFleetOutlivesTheReturn lets the store return from copies in which the keys have no holder, or
+// earlier ones, while some allocators are cut off and go on dealing. It guards against QUOTA,
+// two processes that deal the same part of the rate, and against parts that nobody deals.
+func TestFleetOutlivesTheReturn(t *testing.T) {
+	play(t, func(t *testing.T, fleet *fleet) {
+		fleet.store.mutex.Lock()
+		former := maps.Clone(fleet.store.items)
+		fleet.store.mutex.Unlock()
+		fleet.load(8 * time.Second)
+		fleet.end(t, false, func(proxy *fleetProxy) bool { return proxy.name == fleet.allocators()[0].Holder() })
+		fleet.load(8 * time.Second)
+		for _, copied := range []map[string]ebonywood.Item{nil, former} {
+			cut := fleet.proxy(fleet.allocators()[1].Holder())
+			fleet.cut[cut.index].Store(true)
+			fleet.store.returnFromCopy(copied)
+			fleet.takeCounts()
+			fleet.messages.Store(0)
+			const measured = 4 * time.Second
+			fleet.load(measured)
+			fleet.requireServed(t, "after the return", measured, 0.75, 0.02)
+			fleet.load(measured)
+			fleet.cut[cut.index].Store(false)
+			cut.handle(ebonywood.DirectoryReturned{})
+			fleet.list()
+			fleet.load(measured)
+			fleet.takeCounts()
+			fleet.load(measured)
+			fleet.requireServed(t, "all back", measured, 0.95, 0.001)
+			require.Len(t, fleet.allocators(), fleetAllocators)
+		}
+	})
+}
+
 // TestFleetLosesItsAllocators cuts off all allocators, which go on dealing to themselves and to
 // each other's former callers until their leases end, while others take over. It guards against
 // two processes that deal the same part of the rate.
@@ -760,7 +831,7 @@
 func BenchmarkTake(b *testing.B) {
 	workspace := ebonywood.NewWorkspace("w", nil, nil, 0).WithRate(1e9, 1e9)
 	fleet := &fleet{clock: startClock{start: time.Now()}, set: ebonywood.NewObjectSet(1, "", nil, nil, nil)}
-	proxy := &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", fleetAllocators), snapshot: ebonywood.NewDraft().Publish()}
+	proxy := &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", fleetAllocators, 0), snapshot: ebonywood.NewDraft().Publish()}
 	edge := New(proxy)
 	allocator := ebonywood.NewAllocator(0, "p", "p", "n")
 	edge.stock("w").tokens.Add(0, 0, 1e9, 0, allocator, 1<<40, 0, 0)
--- a/internal/edge/ratelimit/ratelimit.go
+++ b/internal/edge/ratelimit/ratelimit.go
@@ -19,6 +19,7 @@
 	"github.com/ebonywood/ebonywood/internal/boundedlabel"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
+	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // Name is the plug-in's name.
@@ -81,9 +82,7 @@
 		port: port, group: rungroup.New(context.Background()),
 		bounds:     ebonywood.NewRateBounds(window, overage, slack),
 		allocators: limits.Count(ebonywood.LimitRateAllocators), life: life,
-		// A key that expires unsettled must outlive the tokens of the holder before it. Its
-		// lease was granted up to callTimeout before the key was written.
-		ttl: max(limits.Millis(ebonywood.LimitAllocatorTTL), life+ebonywood.MillisOf(callTimeout)+2*clockMargin),
+		ttl: tokenbucket.LeaseTTL(limits),
 		run: newNonce(), metrics: newMetrics(port.Metrics()),
 		stocks: map[string]*stock{}, links: map[int]*link{}, successors: map[int]successor{}, claims: map[int]*claim{},
 	}
--- a/internal/edge/ratelimit/successor_test.go
+++ b/internal/edge/ratelimit/successor_test.go
@@ -45,7 +45,7 @@
 	draft.SetAllocators([]ebonywood.Allocator{ebonywood.NewAllocator(0, "q", "q", "former")})
 	fleet := &fleet{clock: startClock{start: time.Now()}, set: ebonywood.NewObjectSet(1, "", nil, nil, nil)}
 	port := restartedPort{
-		fleetProxy: &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", fleetAllocators), snapshot: draft.Publish()},
+		fleetProxy: &fleetProxy{fleet: fleet, name: "p", decision: allocation.New("p", "p", fleetAllocators, 0), snapshot: draft.Publish()},
 		relay:      &restartedRelay{},
 	}
 	edge := New(port)
