Confirm no configuration while the store may lack what it lost

What callers could see: NODB, a refusal for good, for a database whose route the operator had added, at a proxy that has not received that version before the store lost it. Cause: a list of a returned store counted as proof that every accepted version was received. Change: for the time that others have to write again what was lost, a mirror confirms nothing. Measured: TestReturnedDirectoryConfirmsNothing failed before (the list of the new era confirmed).

--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -79,8 +79,10 @@
 	// unavailable is set while the directory does not respond to this process;
 	// recoveredAt is when it last became available again, lastResponseAt when it last
 	// responded to a call.
-	unavailable    bool
-	recoveredAt    time.Time
+	unavailable bool
+	recoveredAt time.Time
+	// returnedAt is when it was seen to have returned from a copy, zero if never.
+	returnedAt     time.Time
 	lastResponseAt time.Time
 	// recovery is called when it becomes available again; it may be nil.
 	recovery   context.CancelFunc
@@ -274,12 +276,21 @@
 	return edge.unavailable
 }
 
-// restartRecovery counts the recovery of a directory that has returned from a copy from now on,
+// noteReturn records that the directory has returned from a copy. Its recovery counts from now on,
 // although it may have been away for so short that no call failed.
-func (edge *Edge) restartRecovery() {
+func (edge *Edge) noteReturn() {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
-	edge.recoveredAt = time.Now()
+	edge.returnedAt = time.Now()
+	edge.recoveredAt = edge.returnedAt
+}
+
+// hasJustReturned reports whether the directory has returned from a copy so shortly before that
+// others may still have to write again what it has lost.
+func (edge *Edge) hasJustReturned() bool {
+	edge.mutex.Lock()
+	defer edge.mutex.Unlock()
+	return time.Since(edge.returnedAt) <= expiredRetention
 }
 
 // timeSinceRecovery returns the time since the directory became available again.
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -271,8 +271,12 @@
 
 // confirm reports to the control loop that the events posted so far hold every change
 // that the directory had accepted by a time. Like the changes, it waits in the loop's
-// queue, so that the snapshot never claims more than is in force.
+// queue, so that the snapshot never claims more than is in force. A directory that has just
+// returned from a copy may lack changes that it had accepted, so it confirms nothing.
 func (mirror *mirror) confirm(ctx context.Context, asOf ebonywood.Millis) {
+	if mirror.edge.hasJustReturned() {
+		return
+	}
 	_ = mirror.edge.port.Post(ctx, ebonywood.NewConfigurationConfirmed(asOf))
 }
 
@@ -355,7 +359,7 @@
 	returned = mirror.era > 0 && era > mirror.era
 	mirror.era = max(mirror.era, era)
 	if returned {
-		mirror.edge.restartRecovery()
+		mirror.edge.noteReturn()
 		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
 	}
 	return returned
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -251,3 +251,29 @@
 	require.False(t, mirror.purgeRetained())
 	require.Equal(t, rewritten, mirror.items[leaving.Key()])
 }
+
+// TestReturnedDirectoryConfirmsNothing guards against CONFIG: a database whose route the directory
+// has lost is refused as unknown only once the operator has had the time to write it again.
+func TestReturnedDirectoryConfirmsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var posted ebonywood.Event
+		era := ebonywood.Era(1)
+		fake := &fakeDirectory{arriving: true, list: func(context.Context, int64) ([]ebonywood.Item, ebonywood.Revision, error) {
+			return nil, ebonywood.NewRevision(era, 7), nil
+		}}
+		edge := New(timedPort{fakePort: fakePort{posted: &posted, directory: fake}, clock: startClock{start: time.Now()}})
+		mirror := newMirror(edge)
+		isConfirmed := func() bool {
+			require.NoError(t, mirror.relist(t.Context()))
+			_, confirmed := posted.(ebonywood.ConfigurationConfirmed)
+			return confirmed
+		}
+		require.True(t, isConfirmed())
+		era = 2
+		require.False(t, isConfirmed())
+		time.Sleep(expiredRetention)
+		require.False(t, isConfirmed())
+		time.Sleep(time.Millisecond)
+		require.True(t, isConfirmed())
+	})
+}
