Keep the reports of proxies that the returned store has lost

What callers could see, with synchronous replicas: acknowledged commits lost (LOST). Cause: a proxy whose report a returned store lacks counted as gone. The holder of the duty then ordered a switchover although that proxy had not stopped its writes; and a holder whose request for a stop was lost had others resume theirs. Change: until each proxy has written its report in the new era, which the report now says, or the time for that is over, what was known of it before counts, except for the stops that it had confirmed. The model of the succession learns returns: two proxies that act as holders of the duty, notices that come late, reports that are lost.

--- a/internal/decision/succession/model_test.go
+++ b/internal/decision/succession/model_test.go
@@ -102,6 +102,10 @@
 	acked, rolledBack map[int]bool
 	trace             []string
 	violation         string
+	// returns are the store's returns from a copy, nil without any; isSettling is set once the
+	// disruptions have ended.
+	returns    *storeReturns
+	isSettling bool
 }
 
 func newWorld(seed uint64) *world {
@@ -406,6 +410,7 @@
 // their logs.
 func (world *world) heal() {
 	world.note("all disruptions end")
+	world.isSettling = true
 	for _, member := range world.members {
 		member.downUntil, member.deafUntil, member.drainingSince = 0, 0, 0
 	}
@@ -432,7 +437,11 @@
 	var reports []ebonywood.ProxyReport
 	for i, proxy := range world.proxies {
 		report := ebonywood.NewProxyReport(ebonywood.NewPeerView(fmt.Sprintf("p%d", i), "a", ""), proxy.suspects, false)
-		reports = append(reports, report.WithWriteStops(proxy.stops.Requested(), proxy.stops.Stopped()))
+		stopped := proxy.stops.Stopped()
+		if world.isReportLost(i) {
+			stopped = nil
+		}
+		reports = append(reports, report.WithWriteStops(proxy.stops.Requested(), stopped))
 	}
 	return reports
 }
@@ -441,6 +450,12 @@
 func (world *world) step() {
 	world.now += modelStep
 	world.applyOrders()
+	if world.returns != nil && !world.isSettling {
+		world.returnStore()
+	}
+	if world.returns != nil {
+		world.deliverNotices()
+	}
 	for _, member := range world.members {
 		if world.receives(member) && world.chance(30) {
 			world.replicate(member)
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -15,8 +15,6 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -102,42 +100,10 @@
 	holdsDuty      bool
 	renewRequested bool
 
-	// allocators are the allocators last posted. Only the mirror's goroutine uses them.
+	// allocators are the allocators last posted, reports the last values of the node keys by
+	// key. Only the mirror's goroutine uses them.
 	allocators []ebonywood.Allocator
-}
-
-// nodeValue is the JSON value of a proxy's node key: its report.
-type nodeValue struct {
-	Name     string   `json:"name"`
-	Zone     string   `json:"zone"`
-	Address  string   `json:"address"`
-	Suspects []string `json:"suspects,omitempty"`
-	Leaving  bool     `json:"leaving,omitempty"`
-	// RequestedStops are the stops of writes that the proxy requests, WriteStops those that
-	// it has carried out.
-	RequestedStops []stopValue `json:"requestedStops,omitempty"`
-	WriteStops     []stopValue `json:"writeStops,omitempty"`
-}
-
-// stopValue is the JSON form of a stop of writes.
-type stopValue struct {
-	Instance string `json:"instance"`
-	Token    int64  `json:"token"`
-	Round    int64  `json:"round"`
-}
-
-func encodeStops(stops []ebonywood.WriteStop) (values []stopValue) {
-	for _, stop := range stops {
-		values = append(values, stopValue{Instance: string(stop.Instance()), Token: stop.Token(), Round: stop.Round()})
-	}
-	return values
-}
-
-func decodeStops(values []stopValue) (stops []ebonywood.WriteStop) {
-	for _, value := range values {
-		stops = append(stops, ebonywood.NewWriteStop(ebonywood.InstanceID(value.Instance), value.Token, value.Round))
-	}
-	return stops
+	reports    map[string]nodeValue
 }
 
 // dutyValue is the JSON value of the duty key.
@@ -329,23 +295,7 @@
 // applyProxyKeys posts the reports of the live proxies and the state of the duty to
 // the control loop.
 func (edge *Edge) applyProxyKeys(ctx context.Context, items map[string]ebonywood.Item, revision ebonywood.Revision) {
-	var reports []ebonywood.ProxyReport
-	for key, item := range items {
-		var value nodeValue
-		if !strings.HasPrefix(key, nodePrefix) || json.Unmarshal(item.Value(), &value) != nil {
-			continue
-		}
-		suspects := make([]ebonywood.MemberID, 0, len(value.Suspects))
-		for _, suspect := range value.Suspects {
-			suspects = append(suspects, ebonywood.MemberID(suspect))
-		}
-		peer := ebonywood.NewPeerView(value.Name, value.Zone, value.Address)
-		report := ebonywood.NewProxyReport(peer, suspects, value.Leaving)
-		reports = append(reports, report.WithWriteStops(decodeStops(value.RequestedStops), decodeStops(value.WriteStops)))
-	}
-	slices.SortFunc(reports, func(left, right ebonywood.ProxyReport) int {
-		return strings.Compare(left.Name(), right.Name())
-	})
+	reports := edge.listReports(items, revision.Era())
 	edge.mutex.Lock()
 	edge.mostReports = max(edge.mostReports, len(reports))
 	edge.mutex.Unlock()
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -144,7 +144,10 @@
 	mirror.merge(page)
 	mirror.keepNewestConfiguration()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.revision)
-	mirror.dispatch(ctx, func(prefix string) bool { return page.IsFull() || mirror.affects(page.Items(), prefix) })
+	ended := mirror.endReturn()
+	mirror.dispatch(ctx, func(prefix string) bool {
+		return page.IsFull() || ended && prefix == proxyPrefix || mirror.affects(page.Items(), prefix)
+	})
 }
 
 // merge updates the items to match the mirror that the page comes from.
--- a/internal/edge/directory/keeper.go
+++ b/internal/edge/directory/keeper.go
@@ -131,6 +131,7 @@
 	value := nodeValue{
 		Name: settings.Name(), Zone: settings.Zone(), Address: settings.PeerAddress(), Leaving: edge.leaving,
 		RequestedStops: encodeStops(edge.writeStops.Requested()), WriteStops: encodeStops(edge.writeStops.Stopped()),
+		Era: keeper.nodeLease.id.Era(),
 	}
 	for _, suspect := range edge.suspects {
 		value.Suspects = append(value.Suspects, string(suspect))
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -55,8 +55,10 @@
 	// retained has the keys of members' entries that are kept although the directory holds
 	// something else, with what it holds: a deleted item if that is nothing.
 	retained map[string]ebonywood.Item
-	// era is the latest of the items, 0 before the first.
-	era ebonywood.Era
+	// era is the latest of the items, 0 before the first. returning is set while others may still
+	// have to write again what a directory that returned from a copy has lost.
+	era       ebonywood.Era
+	returning bool
 	// revision is the revision of the directory up to which items contains every
 	// change; zero if the directory has to be listed.
 	revision ebonywood.Revision
@@ -320,10 +322,10 @@
 		mirror.applyChange(change)
 	}
 	mirror.keepNewestConfiguration()
-	purged := mirror.purgeRetained()
+	purged, ended := mirror.purgeRetained(), mirror.endReturn()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now(), mirror.revision)
 	mirror.dispatch(ctx, func(prefix string) bool {
-		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || mirror.affects(changes, prefix)
+		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || ended && prefix == proxyPrefix || mirror.affects(changes, prefix)
 	})
 	mirror.confirm(ctx, mirror.confirmedAsOf(sentAt, wait, len(changes)))
 	return nil
@@ -359,12 +361,23 @@
 	returned = mirror.era > 0 && era > mirror.era
 	mirror.era = max(mirror.era, era)
 	if returned {
+		mirror.returning = true
 		mirror.edge.noteReturn()
 		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
 	}
 	return returned
 }
 
+// endReturn reports whether the time in which lost keys are written again has just ended. The
+// handlers of the proxies' keys then have to take them as they are.
+func (mirror *mirror) endReturn() bool {
+	if !mirror.returning || mirror.edge.hasJustReturned() {
+		return false
+	}
+	mirror.returning = false
+	return true
+}
+
 // retainMembers puts mirrored entries of members into the listed items where the directory may
 // have lost what the member wrote: entries that are missing, and, if the directory has returned
 // from a copy, those of leaving members whose listed entry is of the time before.
