Leave keys of an earlier era to expire

What callers could see: more operations than a workspace's rate (QUOTA). Cause: a process that starts finds the key of its earlier run, settled, in the copy from which the store returned, and took it at once; another process may have held it since, and deal on. Change: a key has the era in which it was written, and only one of the present era is replaced by the next run of its holder. The model of the tokens learns returns.

--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -30,6 +30,8 @@
 	Address string `json:"address"`
 	Nonce   string `json:"nonce"`
 	Settled bool   `json:"settled,omitempty"`
+	// Era is that of the directory when the key was written.
+	Era ebonywood.Era `json:"era,omitempty"`
 }
 
 // claim is the key of an allocator that this process holds or tries to get.
@@ -215,9 +217,9 @@
 func (claim *claim) write(ctx context.Context, lease ebonywood.LeaseID, replaced ebonywood.Revision) (ebonywood.Revision, error) {
 	directory := claim.edge.port.Directory()
 	if replaced.IsZero() {
-		return directory.Create(ctx, claim.key(), claim.value(), lease)
+		return directory.Create(ctx, claim.key(), claim.value(lease), lease)
 	}
-	return directory.Replace(ctx, claim.key(), claim.value(), lease, replaced)
+	return directory.Replace(ctx, claim.key(), claim.value(lease), lease, replaced)
 }
 
 // reattach writes the key, which this process holds, into a store that has returned from a copy.
@@ -246,7 +248,9 @@
 }
 
 // formerRun returns the revision of the key if the directory lists it as that of a settled
-// holder with the name of this process. Otherwise it has to expire before it is claimed.
+// holder with the name of this process. Otherwise it has to expire before it is claimed, and so
+// does one of an earlier era, since another process may have held it before the directory
+// returned from a copy.
 func (claim *claim) formerRun(ctx context.Context) (revision ebonywood.Revision, err error) {
 	settings := claim.edge.port.Settings()
 	listed := false
@@ -262,7 +266,8 @@
 	}
 	for _, item := range items {
 		var value keyValue
-		if item.Key() == claim.key() && json.Unmarshal(item.Value(), &value) == nil && value.Holder == settings.Name() && value.Settled {
+		if item.Key() == claim.key() && json.Unmarshal(item.Value(), &value) == nil && value.Holder == settings.Name() && value.Settled &&
+			value.Era == item.Revision().Era() {
 			return item.Revision(), nil
 		}
 	}
@@ -271,10 +276,13 @@
 
 func (claim *claim) key() string { return ebonywood.AllocatorKey(claim.number) }
 
-// value returns the value of the key for the present state of the claim.
-func (claim *claim) value() []byte {
+// value returns the value of the key, which is written with a lease, for the present state of the
+// claim.
+func (claim *claim) value(lease ebonywood.LeaseID) []byte {
 	settings := claim.edge.port.Settings()
-	data, err := json.Marshal(keyValue{Holder: settings.Name(), Address: settings.PeerAddress(), Nonce: claim.nonce, Settled: claim.settled})
+	data, err := json.Marshal(keyValue{
+		Holder: settings.Name(), Address: settings.PeerAddress(), Nonce: claim.nonce, Settled: claim.settled, Era: lease.Era(),
+	})
 	if err != nil {
 		panic(err)
 	}
@@ -322,7 +330,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, tokenbucket.KeyTimeout.Duration())
 	defer cancel()
 	claim.settled = true
-	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(), claim.lease, claim.revision)
+	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(claim.lease), claim.lease, claim.revision)
 	claim.settled, claim.revision = err == nil, ebonywood.Revision{}
 	return err
 }
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -710,6 +710,25 @@
 	})
 }
 
+// TestKeyOfAnEarlierEraIsNotReplaced guards against QUOTA: a process that starts after the return
+// finds the key of its earlier run in the copy, which another process may have held since.
+func TestKeyOfAnEarlierEraIsNotReplaced(t *testing.T) {
+	play(t, func(t *testing.T, fleet *fleet) {
+		time.Sleep(8 * time.Second)
+		copied := maps.Clone(fleet.store.items)
+		former := fleet.allocators()
+		require.True(t, former[0].IsSettled())
+		fleet.kill(t)
+		fleet.store.returnFromCopy(copied)
+		fleet.start()
+		time.Sleep(4 * time.Second)
+		require.Equal(t, former, fleet.allocators())
+		time.Sleep(6 * time.Second)
+		require.Len(t, fleet.allocators(), fleetAllocators)
+		require.NotContains(t, fleet.allocators(), former[0])
+	})
+}
+
 // TestFleetLosesItsAllocators cuts off all allocators, which go on dealing to themselves and to
 // each other's former callers until their leases end, while others take over. It guards against
 // two processes that deal the same part of the rate.
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -49,21 +49,24 @@
 	concurrentRequests   mutation = "a proxy sends a request before the one before it has ended"
 	noUrgentLife         mutation = "urgent tokens live as long as others"
 	noHeldReport         mutation = "requests do not say what the proxy holds"
+	noClaimDelay         mutation = "a key is claimed soon after the store returned from a copy"
 )
 
 // mutations has for each mutation the seed of a walk that misses it, which is tried first.
 var mutations = map[mutation]uint64{
 	noLeaseCheck: 7, noPredecessor: 5655, noSettling: 29, noSequence: 2780, lateReplies: 909, noTokenLife: 0, lifeFromReply: 1330,
-	returnsReportedSpent: 387, noUrgentLife: 14, concurrentRequests: 180, noHeldReport: 0,
+	noClaimDelay: 0, returnsReportedSpent: 387, noUrgentLife: 14, concurrentRequests: 180, noHeldReport: 0,
 }
 
 // model is a fleet with one workspace.
 type model struct {
 	choose   func(int) int
 	mutation mutation
-	now      ebonywood.Millis
-	set      *ebonywood.ObjectSet
-	bounds   ebonywood.RateBounds
+	// returns makes the store return from copies.
+	returns bool
+	now     ebonywood.Millis
+	set     *ebonywood.ObjectSet
+	bounds  ebonywood.RateBounds
 	// count is the number of allocators. A holder that is cut off renews no lease.
 	count  int
 	keys   []modelKey
@@ -193,6 +196,9 @@
 	default:
 		model.restartProxy(proxy)
 	}
+	if model.returns && model.choose(40) == 0 {
+		model.returnStore()
+	}
 	if model.rush {
 		for _, proxy := range model.proxies {
 			model.spend(proxy)
@@ -227,6 +233,10 @@
 // renew renews the lease of a key that still holds. A holder that is cut off does not.
 func (model *model) renew(number int) {
 	key := &model.keys[number]
+	if model.returns && key.holder != nil && model.now >= key.holder.certainUntil {
+		// The store may have lost the key, which only a holder that is certain of it writes again.
+		return
+	}
 	if key.holder != nil && model.now < key.expiresAt {
 		key.expiresAt = model.now + modelTTL
 		key.holder.certainUntil = model.now + modelTTL - modelMargin
@@ -256,6 +266,19 @@
 	model.log("take over %d", number)
 }
 
+// returnStore lets the store return from a copy without the keys. Holders write them again while
+// their leases would last, and other processes claim none for the life of a lease. A holder that
+// is cut off deals on.
+func (model *model) returnStore() {
+	for number := range model.keys {
+		model.keys[number].expiresAt = model.now + modelTTL
+		if model.mutation == noClaimDelay {
+			model.keys[number].expiresAt = model.now
+		}
+	}
+	model.log("the store returns")
+}
+
 func (model *model) isSettled(holder *holder) bool {
 	return model.mutation == noSettling || model.now >= holder.startedAt+modelLife
 }
@@ -510,9 +533,10 @@
 
 // play returns the violation of a random walk with a seed. The walk keeps no trace, which
 // would take most of the time.
-func play(count int, seed uint64, mutation mutation) (violation string, spends int) {
+func play(count int, seed uint64, returns bool, mutation mutation) (violation string, spends int) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	model := newModel(count, random.IntN, mutation)
+	model.returns = returns
 	for range modelSteps {
 		model.step()
 	}
@@ -531,7 +555,7 @@
 			t.Parallel()
 			for i := range uint64(walks) {
 				seed := (first + i) % walks
-				if violation, _ := play(1, seed, mutation); violation != "" {
+				if violation, _ := play(1, seed, mutation == noClaimDelay, mutation); violation != "" {
 					t.Logf("seed %d", seed)
 					return
 				}
@@ -541,10 +565,15 @@
 	}
 }
 
-// TestRandomWalks plays the same walks with all mechanisms, and others with several allocators.
+// TestRandomWalks plays the same walks with all mechanisms, and others with several allocators or
+// with a store that returns from copies.
 func TestRandomWalks(t *testing.T) {
-	for _, allocators := range []int{1, 3} {
-		t.Run(fmt.Sprint(allocators), func(t *testing.T) {
+	for _, test := range []struct {
+		allocators int
+		returns    bool
+	}{{1, false}, {3, false}, {1, true}, {3, true}} {
+		allocators := test.allocators
+		t.Run(fmt.Sprint(allocators, test.returns), func(t *testing.T) {
 			t.Parallel()
 			spends := 0
 			played := walks / allocators
@@ -554,7 +583,7 @@
 				played /= 5
 			}
 			for seed := range uint64(played) {
-				violation, spent := play(allocators, seed, unchanged)
+				violation, spent := play(allocators, seed, test.returns, unchanged)
 				require.Empty(t, violation, "seed %d", seed)
 				spends += spent
 			}
