Log when a mirror first holds keys of a returned store

Cause: the log showed the new era of the store's answers, but not when a proxy's mirror was in it; and a test that waited for a list failed in 1 of 6 runs, since a proxy that follows another one lists nothing ("waiting for the list").

--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -362,6 +362,7 @@
 	mirror.era = max(mirror.era, era)
 	if returned {
 		mirror.returning = true
+		mirror.edge.port.Log().Info("directory returned", "era", int64(era))
 		mirror.edge.noteReturn()
 		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
 	}
