--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -13,17 +13,6 @@
 const allKeys = ""
 
 const (
-	// expiredWatchWait is how long a watch waits for changes while entries are
-	// retained. It is short, so that they are purged in time.
-	expiredWatchWait ebonywood.Millis = 400
-	// listFirstByteTimeout bounds the time until a response to any of the list attempts
-	// starts to arrive. listTimeout bounds the whole list; it is longer, since a large
-	// list takes a while over a slow link. listRetryDelay is the time between the first
-	// two attempts; it doubles after each further one.
-	listFirstByteTimeout = 1600 * time.Millisecond
-	listTimeout          = 6 * time.Second
-	listRetryDelay       = 300 * time.Millisecond
-	maxListAttempts      = 4
 	// Between two watches the mirror waits watchDelayPerProxy for each proxy that
 	// reports, at most maxWatchDelay, and maxWatchDelay while all proxies may be starting,
 	// for startPeriod.
@@ -38,10 +27,6 @@
 	// watchTimeoutMargin is added to the wait of a watch for the transfer of the
 	// response.
 	watchTimeoutMargin = 600 * time.Millisecond
-	// expiredRetention is how long entries that expired while the directory was
-	// unavailable, or were lost with it, are retained after its recovery; their owners
-	// write them again in that time.
-	expiredRetention = 2300 * time.Millisecond
 )
 
 // mirror holds a copy of all keys of the directory. It uses a single watch for all
@@ -190,58 +175,6 @@
 	}
 }
 
-// listResult is the result of one attempt to list.
-type listResult struct {
-	items    []ebonywood.Item
-	revision ebonywood.Revision
-	err      error
-}
-
-// list reads all keys. The directory may never respond to a call that it received
-// while it was unavailable, so list starts further attempts in parallel until a
-// response starts to arrive. The first success is returned.
-func (mirror *mirror) list(ctx context.Context) ([]ebonywood.Item, ebonywood.Revision, error) {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	results := make(chan listResult, maxListAttempts)
-	responseStarted := make(chan struct{}, maxListAttempts)
-	attempt := func(context.Context) error {
-		items, revision, err := mirror.edge.port.Directory().List(callCtx, allKeys, func() {
-			select {
-			case responseStarted <- struct{}{}:
-			default:
-			}
-		})
-		results <- listResult{items: items, revision: revision, err: err}
-		return nil
-	}
-	mirror.edge.group.Go(attempt)
-	started, finished := 1, 0
-	retry, firstByte := time.NewTimer(listRetryDelay), time.NewTimer(listFirstByteTimeout)
-	defer retry.Stop()
-	defer firstByte.Stop()
-	for {
-		select {
-		case <-retry.C:
-			if started < maxListAttempts {
-				started++
-				mirror.edge.group.Go(attempt)
-				retry.Reset(listRetryDelay << (started - 1))
-			}
-		case <-responseStarted:
-			retry.Stop()
-			firstByte.Stop()
-		case <-firstByte.C:
-			cancel()
-		case result := <-results:
-			finished++
-			if result.err == nil || finished == started {
-				return result.items, result.revision, result.err
-			}
-		}
-	}
-}
-
 // relist reads all keys and replaces the mirrored items, except for members' entries that are
 // retained.
 func (mirror *mirror) relist(ctx context.Context) error {
@@ -354,82 +287,3 @@
 		delete(mirror.retained, key)
 	}
 }
-
-// enterEra records the era that the items to be applied are of, and reports whether the directory
-// has returned from a copy since the last ones. The control loop learns of it before the items.
-func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (returned bool) {
-	returned = mirror.era > 0 && era > mirror.era
-	mirror.era = max(mirror.era, era)
-	if returned {
-		mirror.returning = true
-		mirror.edge.port.Log().Info("directory returned", "era", int64(era))
-		mirror.edge.noteReturn()
-		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
-	}
-	return returned
-}
-
-// endReturn reports whether the time in which lost keys are written again has just ended. The
-// handlers of the proxies' keys then have to take them as they are.
-func (mirror *mirror) endReturn() bool {
-	if !mirror.returning || mirror.edge.hasJustReturned() {
-		return false
-	}
-	mirror.returning = false
-	return true
-}
-
-// retainMembers puts mirrored entries of members into the listed items where the directory may
-// have lost what the member wrote: entries that are missing, and, if the directory has returned
-// from a copy, those of leaving members whose listed entry is of the time before.
-func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, returned bool) {
-	clear(mirror.retained)
-	for key, held := range mirror.items {
-		listed, found := items[key]
-		switch {
-		case !found && mirror.shouldRetain(held):
-			listed = ebonywood.NewDeletedItem(key, held.Revision())
-		case found && returned && mirror.isLeaving(held) && !mirror.isLeaving(listed):
-		default:
-			continue
-		}
-		items[key], mirror.retained[key] = held, listed
-	}
-}
-
-// isLeaving reports whether an item is the entry of a leaving member.
-func (mirror *mirror) isLeaving(item ebonywood.Item) bool {
-	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) {
-		return false
-	}
-	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
-	return err == nil && entry.Member().IsLeaving()
-}
-
-// shouldRetain reports whether a deleted entry may have expired only because its member
-// could not renew it while the directory was unavailable. That holds for members that
-// were not leaving, for expiredRetention after the recovery.
-func (mirror *mirror) shouldRetain(item ebonywood.Item) bool {
-	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) || mirror.edge.timeSinceRecovery() > expiredRetention {
-		return false
-	}
-	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
-	return err == nil && !entry.Member().IsLeaving()
-}
-
-// purgeRetained replaces the retained entries that were not written again within
-// expiredRetention by what the directory holds, and reports whether there were any.
-func (mirror *mirror) purgeRetained() (changed bool) {
-	if len(mirror.retained) == 0 || mirror.edge.timeSinceRecovery() <= expiredRetention {
-		return false
-	}
-	for key, listed := range mirror.retained {
-		if listed.IsDeleted() {
-			delete(mirror.items, key)
-		} else {
-			mirror.items[key] = listed
-		}
-	}
-	clear(mirror.retained)
-	return true
-}
--- /dev/null
+++ b/internal/edge/directory/retention.go
@@ -0,0 +1,101 @@
+package directory
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/ebonywood/ebonywood"
+)
+
+// This file keeps what members wrote and the directory has lost, because it was unavailable or has
+// returned from a copy, until they have had the time to write it again.
+
+const (
+	// expiredRetention is how long entries that expired while the directory was
+	// unavailable, or were lost with it, are retained after its recovery; their owners
+	// write them again in that time.
+	expiredRetention = 2300 * time.Millisecond
+	// expiredWatchWait is how long a watch waits for changes while entries are
+	// retained. It is short, so that they are purged in time.
+	expiredWatchWait ebonywood.Millis = 400
+)
+
+// enterEra records the era that the items to be applied are of, and reports whether the directory
+// has returned from a copy since the last ones. The control loop learns of it before the items.
+func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (returned bool) {
+	returned = mirror.era > 0 && era > mirror.era
+	mirror.era = max(mirror.era, era)
+	if returned {
+		mirror.returning = true
+		mirror.edge.port.Log().Info("directory returned", "era", int64(era))
+		mirror.edge.noteReturn()
+		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
+	}
+	return returned
+}
+
+// endReturn reports whether the time in which lost keys are written again has just ended. The
+// handlers of the proxies' keys then have to take them as they are.
+func (mirror *mirror) endReturn() bool {
+	if !mirror.returning || mirror.edge.hasJustReturned() {
+		return false
+	}
+	mirror.returning = false
+	return true
+}
+
+// retainMembers puts mirrored entries of members into the listed items where the directory may
+// have lost what the member wrote: entries that are missing, and, if the directory has returned
+// from a copy, those of leaving members whose listed entry is of the time before.
+func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, returned bool) {
+	clear(mirror.retained)
+	for key, held := range mirror.items {
+		listed, found := items[key]
+		switch {
+		case !found && mirror.shouldRetain(held):
+			listed = ebonywood.NewDeletedItem(key, held.Revision())
+		case found && returned && mirror.isLeaving(held) && !mirror.isLeaving(listed):
+		default:
+			continue
+		}
+		items[key], mirror.retained[key] = held, listed
+	}
+}
+
+// isLeaving reports whether an item is the entry of a leaving member.
+func (mirror *mirror) isLeaving(item ebonywood.Item) bool {
+	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) {
+		return false
+	}
+	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
+	return err == nil && entry.Member().IsLeaving()
+}
+
+// shouldRetain reports whether a deleted entry may have expired only because its member
+// could not renew it while the directory was unavailable. That holds for members that
+// were not leaving, for expiredRetention after the recovery.
+func (mirror *mirror) shouldRetain(item ebonywood.Item) bool {
+	if !strings.HasPrefix(item.Key(), mirror.edge.port.Directory().MemberPrefix()) || mirror.edge.timeSinceRecovery() > expiredRetention {
+		return false
+	}
+	entry, err := decodeItem(mirror.edge.port.Directory().DecodeMember, item)
+	return err == nil && !entry.Member().IsLeaving()
+}
+
+// purgeRetained replaces the retained entries that were not written again within
+// expiredRetention by what the directory holds, and reports whether there were any.
+func (mirror *mirror) purgeRetained() (changed bool) {
+	if len(mirror.retained) == 0 || mirror.edge.timeSinceRecovery() <= expiredRetention {
+		return false
+	}
+	for key, listed := range mirror.retained {
+		if listed.IsDeleted() {
+			delete(mirror.items, key)
+		} else {
+			mirror.items[key] = listed
+		}
+	}
+	clear(mirror.retained)
+	return true
+}
