Call the store's return from a copy a restore

Cause: code and docs used the wording of the platform's page, and "returns" already says what functions and tokens do.

--- a/directory.go
+++ b/directory.go
@@ -32,7 +32,7 @@
 // IsDeleted reports whether the item is a tombstone.
 func (item Item) IsDeleted() bool { return item.deleted }
 
-// LeaseID identifies a lease of the store. A store that returns from a copy may give the number
+// LeaseID identifies a lease of the store. A store that is restored from a backup may give the number
 // of a lost lease to another process, so a lease counts only in the era that granted it. The zero
 // value is no lease.
 type LeaseID struct {
@@ -196,11 +196,11 @@
 
 func (ProxyReportsListed) isEvent() {}
 
-// DirectoryReturned reports that the directory has returned from a copy of its content: leases
+// DirectoryRestored reports that the directory was restored from a backup of its content: leases
 // and changes that it had acknowledged may be lost.
-type DirectoryReturned struct{}
+type DirectoryRestored struct{}
 
-func (DirectoryReturned) isEvent() {}
+func (DirectoryRestored) isEvent() {}
 
 // DutyChanged reports whether this process holds the duty to promote. The fencing
 // token is greater for each later holder.
--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -43,7 +43,7 @@
 	count   int
 	// leaseTTL is the time to live of an allocator's lease.
 	leaseTTL ebonywood.Millis
-	// claimsFrom is when keys may be claimed after the directory returned from a copy.
+	// claimsFrom is when keys may be claimed after the directory was restored from a backup.
 	claimsFrom ebonywood.Millis
 	// limited reports that a workspace has a rate.
 	limited  bool
@@ -72,8 +72,8 @@
 }
 
 // Handle processes the list of allocators, the list of live proxies, a new object set, changes
-// of the directory's reachability, its return from a copy and the request to drain. It returns ClaimAllocator for keys
-// that this proxy has to claim.
+// of the directory's reachability, its restore from a backup and the request to drain. It
+// returns ClaimAllocator for keys that this proxy has to claim.
 func (allocation *Allocation) Handle(now ebonywood.Millis, event ebonywood.Event) []ebonywood.Action {
 	switch event := event.(type) {
 	case ebonywood.ObjectSetApplied:
@@ -83,7 +83,7 @@
 	case ebonywood.ProxyReportsListed:
 		allocation.listed = true
 		allocation.setProxies(event.Reports())
-	case ebonywood.DirectoryReturned:
+	case ebonywood.DirectoryRestored:
 		// A holder that the directory has lost may deal until its lease would have ended.
 		allocation.claimsFrom = now + allocation.leaseTTL
 	case ebonywood.DirectoryReachabilityChanged:
--- a/internal/decision/allocation/allocation_test.go
+++ b/internal/decision/allocation/allocation_test.go
@@ -124,18 +124,18 @@
 	}
 }
 
-// TestNoKeyIsClaimedSoonAfterTheReturn guards against QUOTA: the directory has returned from a copy
+// TestNoKeyIsClaimedSoonAfterARestore guards against QUOTA: the directory was restored from a backup
 // that lacks the key of an allocator, which deals until its lease would have ended.
-func TestNoKeyIsClaimedSoonAfterTheReturn(t *testing.T) {
-	const returnedAt ebonywood.Millis = 20_000
+func TestNoKeyIsClaimedSoonAfterARestore(t *testing.T) {
+	const restoredAt ebonywood.Millis = 20_000
 	for _, proxy := range newFleet(1) {
-		proxy.Handle(returnedAt, ebonywood.DirectoryReturned{})
-		proxy.Handle(returnedAt, ebonywood.NewAllocatorsListed(nil))
-		for now := returnedAt; now < returnedAt+testLeaseTTL; now += claimStep / 4 {
+		proxy.Handle(restoredAt, ebonywood.DirectoryRestored{})
+		proxy.Handle(restoredAt, ebonywood.NewAllocatorsListed(nil))
+		for now := restoredAt; now < restoredAt+testLeaseTTL; now += claimStep / 4 {
 			require.Empty(t, claims(proxy, now))
 		}
-		for now := returnedAt + testLeaseTTL; len(claims(proxy, now)) == 0; now += claimStep / 4 {
-			require.Less(t, now, returnedAt+testLeaseTTL+fleetSize*claimStep)
+		for now := restoredAt + testLeaseTTL; len(claims(proxy, now)) == 0; now += claimStep / 4 {
+			require.Less(t, now, restoredAt+testLeaseTTL+fleetSize*claimStep)
 		}
 	}
 }
--- a/internal/decision/succession/model_return_test.go
+++ b/internal/decision/succession/model_restore_test.go
@@ -10,19 +10,19 @@
 	"github.com/ebonywood/ebonywood"
 )
 
-var modelReturns = flag.Int("returnSeeds", 60, "random walks of the model in which the store returns from copies")
+var modelRestores = flag.Int("restoreSeeds", 60, "random walks of the model in which the store is restored from backups")
 
 const (
-	// returnPercent is the chance of a return in a step.
-	returnPercent = 2
-	// noticeSteps bounds the steps until a proxy learns of a return, rewriteSteps those until a
+	// restorePercent is the chance of a restore in a step.
+	restorePercent = 2
+	// noticeSteps bounds the steps until a proxy learns of a restore, rewriteSteps those until a
 	// lost report is written again.
 	noticeSteps, rewriteSteps = 40, 20
 )
 
-// storeReturns are the returns of the store from a copy. They have their own random source, so
+// storeRestores are the restores of the store from a backup. They have their own random source, so
 // that the walks without them stay as they are.
-type storeReturns struct {
+type storeRestores struct {
 	random *rand.Rand
 	// notices are the changes of the duty that proxies learn later.
 	notices []dutyNotice
@@ -38,35 +38,35 @@
 	token int64
 }
 
-// returnStore lets the store return from a copy in which either proxy holds the duty. Both learn
+// restoreStore restores the store from a backup in which either proxy holds the duty. Both learn
 // of it later. Of a report that is lost, the others keep all but the stops that it has confirmed.
-func (world *world) returnStore() {
-	returns := world.returns
-	if returns.random.IntN(100) >= returnPercent {
+func (world *world) restoreStore() {
+	restores := world.restores
+	if restores.random.IntN(100) >= restorePercent {
 		return
 	}
 	delay := func(steps int) ebonywood.Millis {
-		return world.now + modelStep*ebonywood.Millis(returns.random.IntN(steps))
+		return world.now + modelStep*ebonywood.Millis(restores.random.IntN(steps))
 	}
-	world.holder = returns.random.IntN(len(world.proxies))
+	world.holder = restores.random.IntN(len(world.proxies))
 	world.token++
-	world.note("the store returns; p%d holds the duty with token %d", world.holder, world.token)
+	world.note("the store is restored; p%d holds the duty with token %d", world.holder, world.token)
 	for index := range world.proxies {
-		returns.notices = append(returns.notices, dutyNotice{at: delay(noticeSteps), proxy: index, token: world.token})
-		if returns.random.IntN(2) == 0 {
-			returns.reportLostUntil[index] = delay(rewriteSteps)
+		restores.notices = append(restores.notices, dutyNotice{at: delay(noticeSteps), proxy: index, token: world.token})
+		if restores.random.IntN(2) == 0 {
+			restores.reportLostUntil[index] = delay(rewriteSteps)
 		}
 	}
 }
 
 // deliverNotices tells the proxies who holds the duty.
 func (world *world) deliverNotices() {
-	due := world.returns.notices
-	world.returns.notices = nil
+	due := world.restores.notices
+	world.restores.notices = nil
 	for _, notice := range due {
 		switch {
 		case notice.at > world.now:
-			world.returns.notices = append(world.returns.notices, notice)
+			world.restores.notices = append(world.restores.notices, notice)
 		case notice.token == world.token:
 			held := notice.proxy == world.holder
 			proxy := world.proxies[notice.proxy]
@@ -77,22 +77,22 @@
 
 // isReportLost reports whether the store lacks the last report of a proxy.
 func (world *world) isReportLost(proxy int) bool {
-	return world.returns != nil && world.now < world.returns.reportLostUntil[proxy]
+	return world.restores != nil && world.now < world.restores.reportLostUntil[proxy]
 }
 
-// TestModelWithReturns plays walks in which the store returns from copies. It guards against
+// TestModelWithRestores plays walks in which the store is restored from backups. It guards against
 // LOST, STALE and DRAIN while two proxies act as holders of the duty, and against a service that
 // does not recover.
-func TestModelWithReturns(t *testing.T) {
+func TestModelWithRestores(t *testing.T) {
 	promotions := 0
-	for i := range *modelReturns {
+	for i := range *modelRestores {
 		seed := *modelFirst + uint64(i)
 		world := newWorld(seed)
-		world.returns = &storeReturns{random: rand.New(rand.NewPCG(seed, 11))}
+		world.restores = &storeRestores{random: rand.New(rand.NewPCG(seed, 11))}
 		world.run()
 		promotions += int(world.term) - 1
 		require.Empty(t, world.violation, "seed %d, %d synchronous replicas, %d members:\n%v", seed, world.sync, len(world.members), joinLines(world.trace))
 	}
 	require.Positive(t, promotions)
-	t.Logf("%d walks, %d promotions", *modelReturns, promotions)
+	t.Logf("%d walks, %d promotions", *modelRestores, promotions)
 }
--- a/internal/decision/succession/model_test.go
+++ b/internal/decision/succession/model_test.go
@@ -102,9 +102,9 @@
 	acked, rolledBack map[int]bool
 	trace             []string
 	violation         string
-	// returns are the store's returns from a copy, nil without any; isSettling is set once the
+	// returns are the store's restores from a backup, nil without any; isSettling is set once the
 	// disruptions have ended.
-	returns    *storeReturns
+	restores   *storeRestores
 	isSettling bool
 }
 
@@ -450,10 +450,10 @@
 func (world *world) step() {
 	world.now += modelStep
 	world.applyOrders()
-	if world.returns != nil && !world.isSettling {
-		world.returnStore()
+	if world.restores != nil && !world.isSettling {
+		world.restoreStore()
 	}
-	if world.returns != nil {
+	if world.restores != nil {
 		world.deliverNotices()
 	}
 	for _, member := range world.members {
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -6,7 +6,7 @@
 // history has been compacted, it lists again and compares. Decisions rely on the
 // mirrored state: if the response to a write is lost, the change that the watch
 // delivers shows whether the write took effect. The fencing token of the duty is made of the
-// revision of its key and of the store's era, since a store that returns from a copy gives
+// revision of its key and of the store's era, since a store that is restored from a backup gives
 // revisions out again.
 package directory
 
@@ -79,8 +79,8 @@
 	// responded to a call.
 	unavailable bool
 	recoveredAt time.Time
-	// returnedAt is when it was seen to have returned from a copy, zero if never.
-	returnedAt     time.Time
+	// restoredAt is when it was seen to were restored from a backup, zero if never.
+	restoredAt     time.Time
 	lastResponseAt time.Time
 	// recovery is called when it becomes available again; it may be nil.
 	recovery   context.CancelFunc
@@ -242,21 +242,21 @@
 	return edge.unavailable
 }
 
-// noteReturn records that the directory has returned from a copy. Its recovery counts from now on,
+// noteRestore records that the directory was restored from a backup. Its recovery counts from now on,
 // although it may have been away for so short that no call failed.
-func (edge *Edge) noteReturn() {
+func (edge *Edge) noteRestore() {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
-	edge.returnedAt = time.Now()
-	edge.recoveredAt = edge.returnedAt
+	edge.restoredAt = time.Now()
+	edge.recoveredAt = edge.restoredAt
 }
 
-// hasJustReturned reports whether the directory has returned from a copy so shortly before that
+// wasJustRestored reports whether the directory was restored from a backup so shortly before that
 // others may still have to write again what it has lost.
-func (edge *Edge) hasJustReturned() bool {
+func (edge *Edge) wasJustRestored() bool {
 	edge.mutex.Lock()
 	defer edge.mutex.Unlock()
-	return time.Since(edge.returnedAt) <= expiredRetention
+	return time.Since(edge.restoredAt) <= expiredRetention
 }
 
 // timeSinceRecovery returns the time since the directory became available again.
--- a/internal/edge/directory/follower.go
+++ b/internal/edge/directory/follower.go
@@ -144,7 +144,7 @@
 	mirror.merge(page)
 	mirror.keepNewestConfiguration()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now()-page.Age(), mirror.revision)
-	ended := mirror.endReturn()
+	ended := mirror.endRestore()
 	mirror.dispatch(ctx, func(prefix string) bool {
 		return page.IsFull() || ended && prefix == proxyPrefix || mirror.affects(page.Items(), prefix)
 	})
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -40,10 +40,10 @@
 	// retained has the keys of members' entries that are kept although the directory holds
 	// something else, with what it holds: a deleted item if that is nothing.
 	retained map[string]ebonywood.Item
-	// era is the latest of the items, 0 before the first. returning is set while others may still
-	// have to write again what a directory that returned from a copy has lost.
+	// era is the latest of the items, 0 before the first. restoring is set while others may still
+	// have to write again what a directory that was restored from a backup has lost.
 	era       ebonywood.Era
-	returning bool
+	restoring bool
 	// revision is the revision of the directory up to which items contains every
 	// change; zero if the directory has to be listed.
 	revision ebonywood.Revision
@@ -207,9 +207,9 @@
 // confirm reports to the control loop that the events posted so far hold every change
 // that the directory had accepted by a time. Like the changes, it waits in the loop's
 // queue, so that the snapshot never claims more than is in force. A directory that has just
-// returned from a copy may lack changes that it had accepted, so it confirms nothing.
+// was restored from a backup may lack changes that it had accepted, so it confirms nothing.
 func (mirror *mirror) confirm(ctx context.Context, asOf ebonywood.Millis) {
-	if mirror.edge.hasJustReturned() {
+	if mirror.edge.wasJustRestored() {
 		return
 	}
 	_ = mirror.edge.port.Post(ctx, ebonywood.NewConfigurationConfirmed(asOf))
@@ -255,7 +255,7 @@
 		mirror.applyChange(change)
 	}
 	mirror.keepNewestConfiguration()
-	purged, ended := mirror.purgeRetained(), mirror.endReturn()
+	purged, ended := mirror.purgeRetained(), mirror.endRestore()
 	mirror.edge.feed.update(mirror.items, mirror.edge.port.Clock().Now(), mirror.revision)
 	mirror.dispatch(ctx, func(prefix string) bool {
 		return purged && prefix == mirror.edge.port.Directory().MemberPrefix() || ended && prefix == proxyPrefix || mirror.affects(changes, prefix)
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -221,7 +221,7 @@
 func (port timedPort) Clock() ebonywood.Clock { return port.clock }
 
 // TestLostMemberEntriesAreRetained guards against DRAIN and a needless failover: a directory that
-// returns from a copy has lost the entry of a member, and the report that another one is leaving.
+// is restored from a backup has lost the entry of a member, and the report that another one is leaving.
 // Both hold until the members have had the time to write again.
 func TestLostMemberEntriesAreRetained(t *testing.T) {
 	lost := ebonywood.NewItem("members/m0", nil, atRevision(8))
@@ -252,9 +252,9 @@
 	require.Equal(t, rewritten, mirror.items[leaving.Key()])
 }
 
-// TestReturnedDirectoryConfirmsNothing guards against CONFIG: a database whose route the directory
+// TestRestoredDirectoryConfirmsNothing guards against CONFIG: a database whose route the directory
 // has lost is refused as unknown only once the operator has had the time to write it again.
-func TestReturnedDirectoryConfirmsNothing(t *testing.T) {
+func TestRestoredDirectoryConfirmsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var posted ebonywood.Event
 		era := ebonywood.Era(1)
--- a/internal/edge/directory/reports.go
+++ b/internal/edge/directory/reports.go
@@ -65,7 +65,7 @@
 			listed[key] = value
 		}
 	}
-	if edge.hasJustReturned() {
+	if edge.wasJustRestored() {
 		edge.keepLostReports(listed, era)
 	}
 	edge.reports = listed
@@ -78,7 +78,7 @@
 	return reports
 }
 
-// keepLostReports replaces what a directory that has returned from a copy lists by what was known
+// keepLostReports replaces what a directory that was restored from a backup lists by what was known
 // before, for proxies that have not written since. Whether such a proxy still holds its writes
 // is not known.
 func (edge *Edge) keepLostReports(listed map[string]nodeValue, era ebonywood.Era) {
--- a/internal/edge/directory/reports_test.go
+++ b/internal/edge/directory/reports_test.go
@@ -10,7 +10,7 @@
 )
 
 // TestLostReportsAreKept guards against LOST with synchronous replicas: the holder of the duty
-// took a proxy whose report the returned directory lacks for one that is gone, and promoted while
+// took a proxy whose report the restored directory lacks for one that is gone, and promoted while
 // that proxy sent writes.
 func TestLostReportsAreKept(t *testing.T) {
 	edge := New(fakePort{})
@@ -23,7 +23,7 @@
 	reports := edge.listReports(item(stopped), 1)
 	require.Len(t, reports[0].WriteStops(), 1)
 
-	edge.noteReturn()
+	edge.noteRestore()
 	for _, copied := range []map[string]ebonywood.Item{nil, item(nodeValue{Name: "p1", Era: 1})} {
 		reports = edge.listReports(copied, 2)
 		require.Len(t, reports, 1)
@@ -34,6 +34,6 @@
 	stopped.Era = 2
 	require.Len(t, edge.listReports(item(stopped), 2)[0].WriteStops(), 1)
 
-	edge.returnedAt = time.Now().Add(-2 * expiredRetention)
+	edge.restoredAt = time.Now().Add(-2 * expiredRetention)
 	require.Empty(t, edge.listReports(nil, 2))
 }
--- a/internal/edge/directory/retention.go
+++ b/internal/edge/directory/retention.go
@@ -9,7 +9,7 @@
 )
 
 // This file keeps what members wrote and the directory has lost, because it was unavailable or has
-// returned from a copy, until they have had the time to write it again.
+// was restored from a backup, until they have had the time to write it again.
 
 const (
 	// expiredRetention is how long entries that expired while the directory was
@@ -22,40 +22,40 @@
 )
 
 // enterEra records the era that the items to be applied are of, and reports whether the directory
-// has returned from a copy since the last ones. The control loop learns of it before the items.
-func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (returned bool) {
-	returned = mirror.era > 0 && era > mirror.era
+// was restored from a backup since the last ones. The control loop learns of it before the items.
+func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (restored bool) {
+	restored = mirror.era > 0 && era > mirror.era
 	mirror.era = max(mirror.era, era)
-	if returned {
-		mirror.returning = true
-		mirror.edge.port.Log().Info("directory returned", "era", int64(era))
-		mirror.edge.noteReturn()
-		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryReturned{})
+	if restored {
+		mirror.restoring = true
+		mirror.edge.port.Log().Info("directory restored", "era", int64(era))
+		mirror.edge.noteRestore()
+		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryRestored{})
 	}
-	return returned
+	return restored
 }
 
-// endReturn reports whether the time in which lost keys are written again has just ended. The
+// endRestore reports whether the time in which lost keys are written again has just ended. The
 // handlers of the proxies' keys then have to take them as they are.
-func (mirror *mirror) endReturn() bool {
-	if !mirror.returning || mirror.edge.hasJustReturned() {
+func (mirror *mirror) endRestore() bool {
+	if !mirror.restoring || mirror.edge.wasJustRestored() {
 		return false
 	}
-	mirror.returning = false
+	mirror.restoring = false
 	return true
 }
 
 // retainMembers puts mirrored entries of members into the listed items where the directory may
-// have lost what the member wrote: entries that are missing, and, if the directory has returned
-// from a copy, those of leaving members whose listed entry is of the time before.
-func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, returned bool) {
+// have lost what the member wrote: entries that are missing, and, if the directory was restored
+// from a backup, those of leaving members whose listed entry is of the time before.
+func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, restored bool) {
 	clear(mirror.retained)
 	for key, held := range mirror.items {
 		listed, found := items[key]
 		switch {
 		case !found && mirror.shouldRetain(held):
 			listed = ebonywood.NewDeletedItem(key, held.Revision())
-		case found && returned && mirror.isLeaving(held) && !mirror.isLeaving(listed):
+		case found && restored && mirror.isLeaving(held) && !mirror.isLeaving(listed):
 		default:
 			continue
 		}
--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -222,9 +222,9 @@
 	return directory.Replace(ctx, claim.key(), claim.value(lease), lease, replaced)
 }
 
-// reattach writes the key, which this process holds, into a store that has returned from a copy.
-// The copy may lack the key, or name an earlier holder. A conflict is a fault of KindUnavailable:
-// what the copy had may have expired meanwhile.
+// reattach writes the key, which this process holds, into a store that was restored from a backup.
+// The backup may lack the key, or name an earlier holder. A conflict is a fault of KindUnavailable:
+// what the backup had may have expired meanwhile.
 func (claim *claim) reattach(ctx context.Context) error {
 	sentAt := claim.edge.now()
 	err := claim.attach(ctx, claim.present)
@@ -250,7 +250,7 @@
 // formerRun returns the revision of the key if the directory lists it as that of a settled
 // holder with the name of this process. Otherwise it has to expire before it is claimed, and so
 // does one of an earlier era, since another process may have held it before the directory
-// returned from a copy.
+// was restored from a backup.
 func (claim *claim) formerRun(ctx context.Context) (revision ebonywood.Revision, err error) {
 	settings := claim.edge.port.Settings()
 	listed := false
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -98,9 +98,9 @@
 	return id, nil
 }
 
-// returnFromCopy replaces the keys by those of a copy, and loses all leases and the revisions
-// since the first one. The keys of the copy end after the time to live of an allocator's lease.
-func (store *memoryStore) returnFromCopy(copied map[string]ebonywood.Item) {
+// restoreFrom replaces the keys by those of a backup, and loses all leases and the revisions
+// since the first one. The keys of the backup end after the time to live of an allocator's lease.
+func (store *memoryStore) restoreFrom(copied map[string]ebonywood.Item) {
 	store.mutex.Lock()
 	defer store.mutex.Unlock()
 	store.era++
@@ -125,7 +125,7 @@
 	})
 	for _, proxy := range store.fleet.running() {
 		if !proxy.isCut() {
-			proxy.handle(ebonywood.DirectoryReturned{})
+			proxy.handle(ebonywood.DirectoryRestored{})
 		}
 	}
 	store.fleet.list()
@@ -677,10 +677,10 @@
 	})
 }
 
-// TestFleetOutlivesTheReturn lets the store return from copies in which the keys have no holder, or
+// TestFleetOutlivesARestore lets the store be restored from backups in which the keys have no holder, or
 // earlier ones, while some allocators are cut off and go on dealing. It guards against QUOTA,
 // two processes that deal the same part of the rate, and against parts that nobody deals.
-func TestFleetOutlivesTheReturn(t *testing.T) {
+func TestFleetOutlivesARestore(t *testing.T) {
 	play(t, func(t *testing.T, fleet *fleet) {
 		fleet.store.mutex.Lock()
 		former := maps.Clone(fleet.store.items)
@@ -691,15 +691,15 @@
 		for _, copied := range []map[string]ebonywood.Item{nil, former} {
 			cut := fleet.proxy(fleet.allocators()[1].Holder())
 			fleet.cut[cut.index].Store(true)
-			fleet.store.returnFromCopy(copied)
+			fleet.store.restoreFrom(copied)
 			fleet.takeCounts()
 			fleet.messages.Store(0)
 			const measured = 4 * time.Second
 			fleet.load(measured)
-			fleet.requireServed(t, "after the return", measured, 0.75, 0.02)
+			fleet.requireServed(t, "after the restore", measured, 0.75, 0.02)
 			fleet.load(measured)
 			fleet.cut[cut.index].Store(false)
-			cut.handle(ebonywood.DirectoryReturned{})
+			cut.handle(ebonywood.DirectoryRestored{})
 			fleet.list()
 			fleet.load(measured)
 			fleet.takeCounts()
@@ -710,8 +710,8 @@
 	})
 }
 
-// TestKeyOfAnEarlierEraIsNotReplaced guards against QUOTA: a process that starts after the return
-// finds the key of its earlier run in the copy, which another process may have held since.
+// TestKeyOfAnEarlierEraIsNotReplaced guards against QUOTA: a process that starts after a restore
+// finds the key of its earlier run in the backup, which another process may have held since.
 func TestKeyOfAnEarlierEraIsNotReplaced(t *testing.T) {
 	play(t, func(t *testing.T, fleet *fleet) {
 		time.Sleep(8 * time.Second)
@@ -719,7 +719,7 @@
 		former := fleet.allocators()
 		require.True(t, former[0].IsSettled())
 		fleet.kill(t)
-		fleet.store.returnFromCopy(copied)
+		fleet.store.restoreFrom(copied)
 		fleet.start()
 		time.Sleep(4 * time.Second)
 		require.Equal(t, former, fleet.allocators())
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -49,7 +49,7 @@
 	concurrentRequests   mutation = "a proxy sends a request before the one before it has ended"
 	noUrgentLife         mutation = "urgent tokens live as long as others"
 	noHeldReport         mutation = "requests do not say what the proxy holds"
-	noClaimDelay         mutation = "a key is claimed soon after the store returned from a copy"
+	noClaimDelay         mutation = "a key is claimed soon after the store was restored from a backup"
 )
 
 // mutations has for each mutation the seed of a walk that misses it, which is tried first.
@@ -62,11 +62,11 @@
 type model struct {
 	choose   func(int) int
 	mutation mutation
-	// returns makes the store return from copies.
-	returns bool
-	now     ebonywood.Millis
-	set     *ebonywood.ObjectSet
-	bounds  ebonywood.RateBounds
+	// restores makes the store be restored from backups.
+	restores bool
+	now      ebonywood.Millis
+	set      *ebonywood.ObjectSet
+	bounds   ebonywood.RateBounds
 	// count is the number of allocators. A holder that is cut off renews no lease.
 	count  int
 	keys   []modelKey
@@ -196,8 +196,8 @@
 	default:
 		model.restartProxy(proxy)
 	}
-	if model.returns && model.choose(40) == 0 {
-		model.returnStore()
+	if model.restores && model.choose(40) == 0 {
+		model.restoreStore()
 	}
 	if model.rush {
 		for _, proxy := range model.proxies {
@@ -233,7 +233,7 @@
 // renew renews the lease of a key that still holds. A holder that is cut off does not.
 func (model *model) renew(number int) {
 	key := &model.keys[number]
-	if model.returns && key.holder != nil && model.now >= key.holder.certainUntil {
+	if model.restores && key.holder != nil && model.now >= key.holder.certainUntil {
 		// The store may have lost the key, which only a holder that is certain of it writes again.
 		return
 	}
@@ -266,17 +266,17 @@
 	model.log("take over %d", number)
 }
 
-// returnStore lets the store return from a copy without the keys. Holders write them again while
+// restoreStore restores the store from a backup without the keys. Holders write them again while
 // their leases would last, and other processes claim none for the life of a lease. A holder that
 // is cut off deals on.
-func (model *model) returnStore() {
+func (model *model) restoreStore() {
 	for number := range model.keys {
 		model.keys[number].expiresAt = model.now + modelTTL
 		if model.mutation == noClaimDelay {
 			model.keys[number].expiresAt = model.now
 		}
 	}
-	model.log("the store returns")
+	model.log("the store is restored")
 }
 
 func (model *model) isSettled(holder *holder) bool {
@@ -533,10 +533,10 @@
 
 // play returns the violation of a random walk with a seed. The walk keeps no trace, which
 // would take most of the time.
-func play(count int, seed uint64, returns bool, mutation mutation) (violation string, spends int) {
+func play(count int, seed uint64, restores bool, mutation mutation) (violation string, spends int) {
 	random := rand.New(rand.NewPCG(seed, 0))
 	model := newModel(count, random.IntN, mutation)
-	model.returns = returns
+	model.restores = restores
 	for range modelSteps {
 		model.step()
 	}
@@ -566,14 +566,14 @@
 }
 
 // TestRandomWalks plays the same walks with all mechanisms, and others with several allocators or
-// with a store that returns from copies.
+// with a store that is restored from backups.
 func TestRandomWalks(t *testing.T) {
 	for _, test := range []struct {
 		allocators int
-		returns    bool
+		restores   bool
 	}{{1, false}, {3, false}, {1, true}, {3, true}} {
 		allocators := test.allocators
-		t.Run(fmt.Sprint(allocators, test.returns), func(t *testing.T) {
+		t.Run(fmt.Sprint(allocators, test.restores), func(t *testing.T) {
 			t.Parallel()
 			spends := 0
 			played := walks / allocators
@@ -583,7 +583,7 @@
 				played /= 5
 			}
 			for seed := range uint64(played) {
-				violation, spent := play(allocators, seed, test.returns, unchanged)
+				violation, spent := play(allocators, seed, test.restores, unchanged)
 				require.Empty(t, violation, "seed %d", seed)
 				spends += spent
 			}
--- a/revision.go
+++ b/revision.go
@@ -5,7 +5,7 @@
 	"fmt"
 )
 
-// Era counts the times that the directory has returned from a copy of its content. It is 0 for
+// Era counts the times that the directory was restored from a backup of its content. It is 0 for
 // a directory that does not tell.
 type Era int64
 
@@ -13,7 +13,7 @@
 // those above hold the era.
 const tokenNumberBits = 40
 
-// Revision is a point in the history of the directory. A directory that returns from a copy
+// Revision is a point in the history of the directory. A directory that is restored from a backup
 // loses its changes since and gives their numbers out again, so a number alone identifies
 // nothing: the era in which it was read comes first. The zero value is before the first change.
 type Revision struct {
