Keep leaving members when the keys are listed twice after a restore

What callers could see: new work at a leaving member after its drain period (DRAIN). Cause: only the first list after a restore kept the last reports of leaving members; a second one within the same time, for lost history, took the entries of the backup. Change: what decides is the time since the restore, not which list it is. Measured: TestLostMemberEntriesAreRetained, now with a second list, failed before and passes.

--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -188,7 +188,8 @@
 	for _, item := range listed {
 		items[item.Key()] = item
 	}
-	mirror.retainMembers(items, mirror.enterEra(ctx, revision.Era()))
+	mirror.enterEra(ctx, revision.Era())
+	mirror.retainMembers(items)
 	mirror.edge.port.Log().Info("listed", "revision", revision.String(), "items", len(items), "heldThrough", mirror.newestRevision().String())
 	isFirst := mirror.items == nil
 	mirror.items, mirror.revision, mirror.failures = items, revision, 0
--- a/internal/edge/directory/mirror_test.go
+++ b/internal/edge/directory/mirror_test.go
@@ -236,9 +236,11 @@
 	}
 	mirror := newTestMirror(t, fake)
 	require.NoError(t, mirror.relist(t.Context()))
-	require.NoError(t, mirror.relist(t.Context()))
-	require.Equal(t, map[string]ebonywood.Item{lost.Key(): lost, leaving.Key(): leaving}, mirror.items)
-	require.False(t, mirror.purgeRetained())
+	for range 2 {
+		require.NoError(t, mirror.relist(t.Context()))
+		require.Equal(t, map[string]ebonywood.Item{lost.Key(): lost, leaving.Key(): leaving}, mirror.items)
+		require.False(t, mirror.purgeRetained())
+	}
 	mirror.edge.recoveredAt = time.Now().Add(-2 * expiredRetention)
 	require.True(t, mirror.purgeRetained())
 	require.Equal(t, map[string]ebonywood.Item{copied.Key(): copied}, mirror.items)
--- a/internal/edge/directory/retention.go
+++ b/internal/edge/directory/retention.go
@@ -21,18 +21,18 @@
 	expiredWatchWait ebonywood.Millis = 400
 )
 
-// enterEra records the era that the items to be applied are of, and reports whether the directory
-// was restored from a backup since the last ones. The control loop learns of it before the items.
-func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) (restored bool) {
-	restored = mirror.era > 0 && era > mirror.era
+// enterEra records the era that the items to be applied are of. The control loop learns before
+// the items that the directory was restored from a backup since the last ones.
+func (mirror *mirror) enterEra(ctx context.Context, era ebonywood.Era) {
+	restored := mirror.era > 0 && era > mirror.era
 	mirror.era = max(mirror.era, era)
-	if restored {
-		mirror.restoring = true
-		mirror.edge.port.Log().Info("directory restored", "era", int64(era))
-		mirror.edge.noteRestore()
-		_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryRestored{})
+	if !restored {
+		return
 	}
-	return restored
+	mirror.restoring = true
+	mirror.edge.port.Log().Info("directory restored", "era", int64(era))
+	mirror.edge.noteRestore()
+	_ = mirror.edge.port.Post(ctx, ebonywood.DirectoryRestored{})
 }
 
 // endRestore reports whether the time in which lost keys are written again has just ended. The
@@ -46,10 +46,11 @@
 }
 
 // retainMembers puts mirrored entries of members into the listed items where the directory may
-// have lost what the member wrote: entries that are missing, and, if the directory was restored
-// from a backup, those of leaving members whose listed entry is of the time before.
-func (mirror *mirror) retainMembers(items map[string]ebonywood.Item, restored bool) {
+// have lost what the member wrote: entries that are missing, and, if the directory was just
+// restored from a backup, those of leaving members whose listed entry is of the time before.
+func (mirror *mirror) retainMembers(items map[string]ebonywood.Item) {
 	clear(mirror.retained)
+	restored := mirror.edge.wasJustRestored()
 	for key, held := range mirror.items {
 		listed, found := items[key]
 		switch {
