Ask the seeds for the configuration once a store was restored

What callers could see: a proxy that starts soon after a restore refuses a route that was added, or serves one that was dropped, until the operator has written again (CONFIG). Cause: a process without memory of earlier versions can't see that the store holds an older one. It asked the seeds only if the configuration has workspaces or is invalid. Change: it asks them, too, if the era shows that the store was restored before. Measured: TestProxyStartsWithTheNewestConfigurationAfterARestore failed before and passes.

--- a/internal/edge/directory/configuration.go
+++ b/internal/edge/directory/configuration.go
@@ -58,13 +58,20 @@
 // after a start of all proxies no seed has one and callers wait meanwhile.
 const configurationSeedTimeout = 100 * time.Millisecond
 
+// firstEra is the era of a directory that was never restored from a backup.
+const firstEra ebonywood.Era = 1
+
 // askSeedsForConfiguration examines the configurations of the seed proxies after the first
-// list of this process, if the listed one is invalid or has workspaces: without the memory of
-// earlier versions, a process can't see that the directory holds an older one. Deployments
-// without workspaces need no such request. An unchanged configuration comes without its value.
+// list of this process, if the listed one is invalid or has workspaces, or if the directory was
+// restored from a backup before: without the memory of earlier versions, a process can't see
+// that the directory holds an older one. Other deployments need no such request. An unchanged
+// configuration comes without its value.
 func (mirror *mirror) askSeedsForConfiguration(ctx context.Context, listedRevision ebonywood.Revision) {
 	kept := mirror.configuration
-	if mirror.edge.port.Relay() == nil || kept.lastRevision.IsZero() || !kept.lastFailed && !kept.set.RequiresWorkspace() {
+	if mirror.edge.port.Relay() == nil || kept.lastRevision.IsZero() {
+		return
+	}
+	if !kept.lastFailed && !kept.set.RequiresWorkspace() && listedRevision.Era() <= firstEra {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, configurationSeedTimeout)
