--- a/internal/decision/allocation/allocation.go
+++ b/internal/decision/allocation/allocation.go
@@ -13,7 +13,6 @@
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rendezvous"
-	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // Name is the plug-in's name.
@@ -21,7 +20,7 @@
 
 func init() {
 	registry.AddDecision(Name, func(settings ebonywood.Settings) ebonywood.Decision {
-		return New(settings.Name(), settings.PeerAddress(), settings.Limits().Count(ebonywood.LimitRateAllocators), tokenbucket.LeaseTTL(settings.Limits()))
+		return New(settings.Name(), settings.PeerAddress(), settings.Limits().Count(ebonywood.LimitRateAllocators), settings.Limits().AllocatorLeaseTTL())
 	})
 }
 
--- a/internal/edge/ratelimit/claim.go
+++ b/internal/edge/ratelimit/claim.go
@@ -193,7 +193,7 @@
 // attach requests a lease and writes the key with it, in the place of the one with the revision
 // that find returns. If that is zero, there must be no key.
 func (claim *claim) attach(ctx context.Context, find func(context.Context) (ebonywood.Revision, error)) error {
-	callCtx, cancel := context.WithTimeout(ctx, tokenbucket.KeyTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, ebonywood.AllocatorKeyTimeout.Duration())
 	defer cancel()
 	lease, err := claim.edge.port.Directory().Grant(callCtx, claim.edge.ttl)
 	if err != nil {
@@ -300,7 +300,7 @@
 	defer claim.mutex.Unlock()
 	edge := claim.edge
 	claim.allocator = tokenbucket.New(edge.bounds, edge.allocators, edge.life, edge.now())
-	claim.certainUntil = sentAt + edge.ttl - tokenbucket.ClockMargin
+	claim.certainUntil = sentAt + edge.ttl - ebonywood.AllocatorClockMargin
 	edge.metrics.held.Update(float64(edge.heldCount()))
 }
 
@@ -322,7 +322,7 @@
 func (claim *claim) extend(sentAt ebonywood.Millis) {
 	claim.mutex.Lock()
 	defer claim.mutex.Unlock()
-	claim.certainUntil = sentAt + claim.edge.ttl - tokenbucket.ClockMargin
+	claim.certainUntil = sentAt + claim.edge.ttl - ebonywood.AllocatorClockMargin
 }
 
 // settle writes into the key that all tokens of earlier holders have expired. It is tried
@@ -331,7 +331,7 @@
 	if claim.settled || claim.revision.IsZero() || claim.edge.now() < claim.allocator.StartedAt()+claim.edge.life {
 		return nil
 	}
-	callCtx, cancel := context.WithTimeout(ctx, tokenbucket.KeyTimeout.Duration())
+	callCtx, cancel := context.WithTimeout(ctx, ebonywood.AllocatorKeyTimeout.Duration())
 	defer cancel()
 	claim.settled = true
 	_, err := claim.edge.port.Directory().Replace(callCtx, claim.key(), claim.value(claim.lease), claim.lease, claim.revision)
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -19,7 +19,6 @@
 
 	"github.com/ebonywood/ebonywood"
 	"github.com/ebonywood/ebonywood/internal/decision/allocation"
-	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // This file plays a fleet without a network on a simulated clock. Every proxy has its own edge
@@ -113,7 +112,7 @@
 		store.items[key] = ebonywood.NewItem(key, item.Value(), store.now())
 	}
 	store.lastID++
-	lease, ttl := ebonywood.NewLeaseID(store.era, store.lastID), tokenbucket.LeaseTTL(ebonywood.Limits{}).Duration()
+	lease, ttl := ebonywood.NewLeaseID(store.era, store.lastID), ebonywood.Limits{}.AllocatorLeaseTTL().Duration()
 	for key := range copied {
 		store.leaseOf[key] = lease
 	}
@@ -390,7 +389,7 @@
 	for i := range fleetProxies {
 		name := fmt.Sprintf("p%02d", i)
 		proxy := &fleetProxy{
-			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, fleetAllocators, tokenbucket.LeaseTTL(ebonywood.Limits{})),
+			fleet: fleet, name: name, index: i, decision: allocation.New(name, name, fleetAllocators, ebonywood.Limits{}.AllocatorLeaseTTL()),
 			snapshot: ebonywood.NewDraft().Publish(), ended: make(chan error, 1),
 		}
 		proxy.edge = New(proxy)
--- a/internal/edge/ratelimit/ratelimit.go
+++ b/internal/edge/ratelimit/ratelimit.go
@@ -19,7 +19,6 @@
 	"github.com/ebonywood/ebonywood/internal/boundedlabel"
 	"github.com/ebonywood/ebonywood/internal/registry"
 	"github.com/ebonywood/ebonywood/internal/rungroup"
-	"github.com/ebonywood/ebonywood/internal/tokenbucket"
 )
 
 // Name is the plug-in's name.
@@ -82,7 +81,7 @@
 		port: port, group: rungroup.New(context.Background()),
 		bounds:     ebonywood.NewRateBounds(window, overage, slack),
 		allocators: limits.Count(ebonywood.LimitRateAllocators), life: life,
-		ttl: tokenbucket.LeaseTTL(limits),
+		ttl: limits.AllocatorLeaseTTL(),
 		run: newNonce(), metrics: newMetrics(port.Metrics()),
 		stocks: map[string]*stock{}, links: map[int]*link{}, successors: map[int]successor{}, claims: map[int]*claim{},
 	}
--- a/ratelimit.go
+++ b/ratelimit.go
@@ -17,6 +17,23 @@
 // told that it is spent, because it soon counts it no longer anyway.
 const UrgentTokenLife Millis = 250
 
+const (
+	// AllocatorClockMargin is how long before its lease may end an allocator stops: for the
+	// difference between the speeds of the clocks of its host and of the directory.
+	AllocatorClockMargin Millis = 200
+	// AllocatorKeyTimeout bounds the time from the request for an allocator's lease to the write
+	// of its key.
+	AllocatorKeyTimeout Millis = 1000
+)
+
+// AllocatorLeaseTTL returns the time to live of an allocator's lease. A key that expires unsettled
+// must outlive the tokens of the holder before it, and its lease was granted up to
+// AllocatorKeyTimeout before the key was written.
+func (limits Limits) AllocatorLeaseTTL() Millis {
+	life := limits.Millis(LimitTokenLife)
+	return max(limits.Millis(LimitAllocatorTTL), life+AllocatorKeyTimeout+2*AllocatorClockMargin)
+}
+
 // RateLimiter applies the limits of workspaces for the whole fleet. It is safe for
 // concurrent use.
 type RateLimiter interface {
