--- a/internal/decision/succession/model_test.go
+++ b/internal/decision/succession/model_test.go
@@ -102,7 +102,7 @@
 	acked, rolledBack map[int]bool
 	trace             []string
 	violation         string
-	// returns are the store's restores from a backup, nil without any; isSettling is set once the
+	// restores are the store's restores from a backup, nil without any; isSettling is set once the
 	// disruptions have ended.
 	restores   *storeRestores
 	isSettling bool
--- a/internal/edge/directory/directory.go
+++ b/internal/edge/directory/directory.go
@@ -79,7 +79,7 @@
 	// responded to a call.
 	unavailable bool
 	recoveredAt time.Time
-	// restoredAt is when it was seen to were restored from a backup, zero if never.
+	// restoredAt is when a restore from a backup was last seen, zero if never.
 	restoredAt     time.Time
 	lastResponseAt time.Time
 	// recovery is called when it becomes available again; it may be nil.
--- a/internal/edge/directory/mirror.go
+++ b/internal/edge/directory/mirror.go
@@ -207,8 +207,8 @@
 
 // confirm reports to the control loop that the events posted so far hold every change
 // that the directory had accepted by a time. Like the changes, it waits in the loop's
-// queue, so that the snapshot never claims more than is in force. A directory that has just
-// was restored from a backup may lack changes that it had accepted, so it confirms nothing.
+// queue, so that the snapshot never claims more than is in force. A directory that was just
+// restored from a backup may lack changes that it had accepted, so it confirms nothing.
 func (mirror *mirror) confirm(ctx context.Context, asOf ebonywood.Millis) {
 	if mirror.edge.wasJustRestored() {
 		return
--- a/internal/edge/ratelimit/fleet_test.go
+++ b/internal/edge/ratelimit/fleet_test.go
@@ -676,7 +676,7 @@
 	})
 }
 
-// TestFleetOutlivesARestore lets the store be restored from backups in which the keys have no holder, or
+// TestFleetOutlivesARestore restores the store from backups in which the keys have no holder, or
 // earlier ones, while some allocators are cut off and go on dealing. It guards against QUOTA,
 // two processes that deal the same part of the rate, and against parts that nobody deals.
 func TestFleetOutlivesARestore(t *testing.T) {
--- a/internal/tokenstock/model_test.go
+++ b/internal/tokenstock/model_test.go
@@ -62,7 +62,7 @@
 type model struct {
 	choose   func(int) int
 	mutation mutation
-	// restores makes the store be restored from backups.
+	// restores is set if the store is restored from backups.
 	restores bool
 	now      ebonywood.Millis
 	set      *ebonywood.ObjectSet
